cmd, internal: the whole path as a first version

Change: decision core (internal/coordination, internal/state), Geneve data path, QUIC mesh, platform client, administration API, operators' commands, and stand-ins for platform, fabric, target and client. No tests yet.

--- /dev/null
+++ b/cmd/coltsfootdock/main.go
@@ -0,0 +1,13 @@
+// Command coltsfootdock is a layer-4 load balancer: the entry daemon and the
+// operators' commands.
+package main
+
+import (
+	"os"
+
+	"coltsfootdock/cmd/coltsfootdock/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/coordination/daemon/targets.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/health"
+	"coltsfootdock/internal/coordination/member"
+	"coltsfootdock/internal/protocol/peer"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/internal/state/view"
+	"coltsfootdock/pkg/schema"
+)
+
+// probe asks for the probes that are due: those of the targets that this
+// daemon is a prober of.
+func (m *Machine) probe(now clock.Milli) {
+	if now-m.lastProbe < health.Interval {
+		return
+	}
+	m.lastProbe = now
+	mine := make(map[schema.Handle]bool)
+	for _, e := range m.view.Entries() {
+		for _, d := range e.Dests {
+			if mine[d.Handle] || d.Out || !m.probes(now, d) {
+				continue
+			}
+			mine[d.Handle] = true
+			if !d.Target.Health.IsValid() {
+				m.health.Probe(now, health.Result{Target: d.Handle, OK: true, State: peer.Ready})
+				continue
+			}
+			m.out.Probes = append(m.out.Probes, Probe{Handle: d.Handle, Target: d.Target})
+		}
+	}
+	m.health.Keep(mine)
+}
+
+// probes reports whether this daemon is one of a target's probers. Daemons of
+// the target's data centre go first; others probe only if it has none alive.
+func (m *Machine) probes(now clock.Milli, d *view.Dest) bool {
+	self := m.set.Self()
+	hash := uint64(d.Handle)
+	own := flow.Score(hash, flow.Seed(string(self.ID)))
+	local := self.DataCentre == d.Target.DataCentre
+	before := 0
+	for _, p := range m.set.Peers() {
+		if !p.Alive(now) {
+			continue
+		}
+		peerLocal := p.Member.DataCentre == d.Target.DataCentre
+		if peerLocal && !local {
+			return false
+		}
+		if peerLocal == local && flow.Score(hash, flow.Seed(string(p.Member.ID))) > own {
+			before++
+		}
+	}
+	return before < health.Probers
+}
+
+// shareProbes takes a prober's states. That a target failed is believed only
+// of a prober in the target's data centre: others may be cut off from it.
+func (m *Machine) shareProbes(now clock.Milli, p *member.Peer, list []peer.Probe) {
+	for _, probe := range list {
+		if probe.State == peer.Failed && !m.inDataCentre(probe.Target, p.Member.DataCentre) {
+			continue
+		}
+		m.health.Share(now, p.Member.ID, []peer.Probe{probe})
+	}
+}
+
+func (m *Machine) inDataCentre(h schema.Handle, dc schema.DataCentreID) bool {
+	for _, e := range m.view.Entries() {
+		if d := e.Dests[h]; d != nil {
+			return d.Target.DataCentre == dc
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/daemon/verdict.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"net/netip"
+
+	"coltsfootdock/internal/protocol/geneve"
+	"coltsfootdock/pkg/schema"
+)
+
+// Action is what to do with a packet.
+type Action uint8
+
+// Actions of a verdict.
+const (
+	Drop Action = iota
+	Deliver
+	Forward
+	// Refuse answers an open that was never passed on with a reset.
+	Refuse
+)
+
+// Reason tells why a packet was dropped.
+type Reason uint8
+
+// Reasons for a drop.
+const (
+	NoReason Reason = iota
+	NoRoute
+	NoPool
+	NoTarget
+	NotReady
+	OverBudget
+	TargetOut
+	UnknownPeer
+	IsNote
+
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+var reasonNames = [Reasons]string{
+	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
+	"target_out", "unknown_peer", "note",
+}
+
+// String returns the name used in metrics.
+func (r Reason) String() string {
+	return reasonNames[r]
+}
+
+// maxNotes is the number of daemons that one decision informs.
+const maxNotes = 2
+
+// Verdict is the decision on one packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	To     netip.AddrPort
+	VNI    schema.VNI
+	// Relay is the header of a forwarded packet.
+	Relay geneve.Relay
+	// Notes are daemons that are told the flow's record.
+	Notes     [maxNotes]netip.AddrPort
+	NoteCount int
+	Noted     schema.Handle
+	// Name is the route's name, for metrics.
+	Name schema.Name
+}
--- /dev/null
+++ b/internal/coordination/member/member.go
@@ -0,0 +1,413 @@
+// Package member tracks the other daemons and decides whether this daemon's
+// view may be trusted.
+//
+// The view lease: a view is fresh while some evidence shows that no newer
+// revision can be in effect anywhere. The evidence is either a platform read
+// that began at most Lease ago and confirmed the revision, made here or told
+// by a peer, or, while nobody reaches the platform, a heartbeat of every
+// known daemon that was sent at most Lease ago and named no newer revision.
+// Ages of a peer's statements are bounded by the echo of this daemon's own
+// clock, so clocks are never compared and delays only make an age larger.
+//
+// Invariant: if a daemon learned revision v at its time t and acts on it only
+// at t+Lease, every daemon whose view is fresh then knows v.
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/protocol/peer"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+// Spans of the protocol.
+const (
+	// Lease is how old the evidence for a view may be. It is also the grace
+	// period before a new version grants anything.
+	Lease = 1500 * clock.Milli(1)
+	// Interval is the time between heartbeats.
+	Interval = 500 * clock.Milli(1)
+	// Suspect is the silence after which a daemon is no longer a home.
+	Suspect = 1600 * clock.Milli(1)
+	// Gone is the silence after which a daemon no longer blocks the lease.
+	Gone = 10 * clock.Second
+	// memberEvery is how many heartbeats share one copy of the registration.
+	memberEvery = 8
+	// pause is a gap between ticks that shows that this process was stopped.
+	pause = 1000 * clock.Milli(1)
+)
+
+// Peer is another daemon as this one sees it.
+type Peer struct {
+	Member schema.Member
+	Num    peer.Num
+	seed   uint64
+	boot   uint64
+	// Heard is when the newest heartbeat arrived here.
+	Heard clock.Milli
+	// sent is the latest time at which that heartbeat is known to have been
+	// sent at the earliest, directly or as told by another daemon.
+	sent     clock.Milli
+	Revision schema.Version
+	Ready    bool
+	Out      bool
+	// lastTime and lastAt are the peer's clock and ours at its newest
+	// heartbeat, for the echo.
+	lastTime clock.Milli
+	lastAt   clock.Milli
+	beats    int
+}
+
+// Set is the membership as one daemon sees it. It is not safe for concurrent
+// use.
+type Set struct {
+	self      schema.Member
+	selfNum   peer.Num
+	selfSeed  uint64
+	boot      uint64
+	peers     map[schema.VMID]*Peer
+	confirmed clock.Milli
+	newest    schema.Version
+	ready     bool
+	out       bool
+	lastTick  clock.Milli
+	homes     []home
+	// former is the set of homes before its last change.
+	former []home
+}
+
+type home struct {
+	num  peer.Num
+	seed uint64
+	p    *Peer // nil for this daemon
+}
+
+// New returns a set that holds only this daemon. Boot must differ between
+// runs of the same VM.
+func New(self schema.Member, boot uint64) *Set {
+	return &Set{
+		self:      self,
+		selfNum:   peer.NumOf(self.ID),
+		selfSeed:  flow.Seed(string(self.ID)),
+		boot:      boot,
+		peers:     make(map[schema.VMID]*Peer),
+		confirmed: clock.Never,
+	}
+}
+
+// Self returns the daemon's own registration.
+func (s *Set) Self() schema.Member {
+	return s.self
+}
+
+// Num returns the daemon's own number.
+func (s *Set) Num() peer.Num {
+	return s.selfNum
+}
+
+// Register adds daemons that the platform lists or the settings name. The
+// list is a hint: it neither proves that a daemon lives nor that it is gone.
+func (s *Set) Register(now clock.Milli, list []*schema.Member) {
+	for _, m := range list {
+		if m.ID == s.self.ID || s.peers[m.ID] != nil {
+			continue
+		}
+		s.peers[m.ID] = &Peer{
+			Member: *m,
+			Num:    peer.NumOf(m.ID),
+			seed:   flow.Seed(string(m.ID)),
+			Heard:  clock.Never,
+			sent:   clock.Never,
+		}
+	}
+}
+
+// Peers returns all known daemons, by id.
+func (s *Set) Peers() []*Peer {
+	list := make([]*Peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *Peer) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	return list
+}
+
+// Peer returns a known daemon, or nil.
+func (s *Set) Peer(id schema.VMID) *Peer {
+	return s.peers[id]
+}
+
+// ByNum returns a known daemon by its number, or nil.
+func (s *Set) ByNum(n peer.Num) *Peer {
+	for _, p := range s.peers {
+		if p.Num == n {
+			return p
+		}
+	}
+	return nil
+}
+
+// Confirm notes that a platform read which began at the given time showed
+// rev as the newest revision.
+func (s *Set) Confirm(began clock.Milli, rev, mine schema.Version) {
+	s.newest = max(s.newest, rev)
+	if rev == mine {
+		s.confirmed = max(s.confirmed, began)
+	}
+}
+
+// Behind reports whether a newer revision than mine is known to exist.
+func (s *Set) Behind(mine schema.Version) bool {
+	return s.newest > mine
+}
+
+// ConfirmAge returns the age of the platform's confirmation of the view.
+func (s *Set) ConfirmAge(now clock.Milli) clock.Milli {
+	return now - s.confirmed
+}
+
+// Adopt notes that the view was replaced by a newer one: earlier
+// confirmations do not cover it.
+func (s *Set) Adopt(rev schema.Version) {
+	s.newest = max(s.newest, rev)
+	s.confirmed = clock.Never
+}
+
+// Fresh reports whether the view of revision mine may be trusted now.
+func (s *Set) Fresh(now clock.Milli, mine schema.Version) bool {
+	if s.newest > mine {
+		return false
+	}
+	return now-s.confirmed <= Lease || s.heardAll(now)
+}
+
+// heardAll reports whether every daemon that is not gone was heard of within
+// the lease, and there is at least one.
+func (s *Set) heardAll(now clock.Milli) bool {
+	n := 0
+	for _, p := range s.peers {
+		if now-p.Heard > Gone && now-p.sent > Gone {
+			continue
+		}
+		if now-p.sent > Lease {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
+
+// Beat returns the heartbeat for one peer.
+func (s *Set) Beat(now clock.Milli, to *Peer, rev schema.Version) peer.Heartbeat {
+	h := peer.Heartbeat{
+		Boot:     s.boot,
+		Time:     now,
+		Revision: rev,
+		Age:      -1,
+		Ready:    s.ready,
+		Out:      s.out,
+	}
+	if to.beats%memberEvery == 0 {
+		h.Member = &s.self
+	}
+	to.beats++
+	if to.lastAt != 0 {
+		h.Echo = to.lastTime
+		h.Hold = now - to.lastAt
+	}
+	if s.Behind(rev) {
+		return h // what this daemon heard may rest on a newer view
+	}
+	if now-s.confirmed <= Lease {
+		h.Age = now - s.confirmed
+	}
+	for _, p := range s.peers {
+		if p != to && now-p.sent <= Lease {
+			h.Heard = append(h.Heard, peer.Heard{Num: p.Num, Age: now - p.sent})
+		}
+	}
+	return h
+}
+
+// Take handles a heartbeat. It reports whether the sender knows a newer view.
+func (s *Set) Take(now clock.Milli, from schema.VMID, h *peer.Heartbeat, mine schema.Version) bool {
+	if h.Member != nil {
+		s.Register(now, []*schema.Member{h.Member})
+	}
+	p := s.peers[from]
+	if p == nil || (p.boot == h.Boot && h.Time <= p.lastTime) {
+		return false // own, late or duplicate
+	}
+	p.boot = h.Boot
+	if h.Member != nil {
+		p.Member = *h.Member
+	}
+	p.Ready, p.Out, p.Revision = h.Ready, h.Out, h.Revision
+	p.Heard, p.lastTime, p.lastAt = now, h.Time, now
+	s.newest = max(s.newest, h.Revision)
+	if h.Echo == 0 {
+		return h.Revision > mine // no bound on its age yet
+	}
+	sent := h.Echo + h.Hold
+	p.sent = max(p.sent, sent)
+	if h.Age >= 0 && h.Revision == mine {
+		s.confirmed = max(s.confirmed, sent-h.Age)
+	}
+	if h.Revision <= mine {
+		s.relayed(sent, h.Heard)
+	}
+	return h.Revision > mine
+}
+
+// relayed takes what a peer told of other daemons at the time sent.
+func (s *Set) relayed(sent clock.Milli, list []peer.Heard) {
+	for _, heard := range list {
+		if p := s.ByNum(heard.Num); p != nil {
+			p.sent = max(p.sent, sent-heard.Age)
+		}
+	}
+}
+
+// Tick updates the set of homes. A gap since the last tick means that this
+// process did not run: its peers were not silent, it was deaf.
+func (s *Set) Tick(now clock.Milli, ready, out bool) {
+	if gap := now - s.lastTick; s.lastTick != 0 && gap > pause {
+		for _, p := range s.peers {
+			if p.Heard != clock.Never {
+				p.Heard += gap
+			}
+		}
+	}
+	s.lastTick, s.ready, s.out = now, ready, out
+	last := slices.Clone(s.homes)
+	s.homes = s.homes[:0]
+	if ready && !out {
+		s.homes = append(s.homes, home{num: s.selfNum, seed: s.selfSeed})
+	}
+	for _, p := range s.Peers() {
+		if p.Alive(now) && p.Ready && !p.Out {
+			s.homes = append(s.homes, home{num: p.Num, seed: p.seed, p: p})
+		}
+	}
+	if !slices.Equal(last, s.homes) {
+		s.former = last
+	}
+}
+
+// Alive reports whether the peer was heard lately.
+func (p *Peer) Alive(now clock.Milli) bool {
+	return now-p.Heard <= Suspect
+}
+
+// Met reports whether every live peer answered this daemon, so that each of
+// them counts it in its lease.
+func (s *Set) Met(now clock.Milli) bool {
+	for _, p := range s.peers {
+		if p.Alive(now) && p.sent == clock.Never {
+			return false
+		}
+	}
+	return true
+}
+
+// Remove forgets a daemon whose registration is deleted and that is silent.
+func (s *Set) Remove(now clock.Milli, listed map[schema.VMID]bool) {
+	for id, p := range s.peers {
+		if !listed[id] && now-p.Heard > Gone {
+			delete(s.peers, id)
+		}
+	}
+}
+
+// Homes returns the two daemons that keep the records of a flow, best first.
+// A nil peer with ok set means this daemon.
+func (s *Set) Homes(hash uint64) Pair {
+	return pick(s.homes, hash)
+}
+
+// Former returns the homes of a flow before the set of homes last changed.
+func (s *Set) Former(hash uint64) Pair {
+	return pick(s.former, hash)
+}
+
+func pick(homes []home, hash uint64) Pair {
+	var pair Pair
+	var best, second uint64
+	for _, h := range homes {
+		score := flow.Score(hash, h.seed)
+		switch {
+		case pair.N == 0 || score > best:
+			pair.Home[1], second = pair.Home[0], best
+			pair.Home[0], best = h, score
+			pair.N = min(pair.N+1, 2)
+		case pair.N == 1 || score > second:
+			pair.Home[1], second = h, score
+			pair.N = 2
+		}
+	}
+	return pair
+}
+
+// Pair is the homes of a flow; N tells how many there are, 0 to 2.
+type Pair struct {
+	Home [2]home
+	N    int
+}
+
+// Has reports whether the daemon with the number is a home.
+func (p Pair) Has(n peer.Num) bool {
+	return p.N > 0 && p.Home[0].num == n || p.N > 1 && p.Home[1].num == n
+}
+
+// Other returns the first home that is neither of the given daemons, or nil.
+func (p Pair) Other(not ...peer.Num) *Peer {
+	for i := range p.N {
+		if h := p.Home[i]; h.p != nil && !slices.Contains(not, h.num) {
+			return h.p
+		}
+	}
+	return nil
+}
+
+// Each calls f for both homes that are other daemons.
+func (p Pair) Each(f func(*Peer)) {
+	for i := range p.N {
+		if p.Home[i].p != nil {
+			f(p.Home[i].p)
+		}
+	}
+}
+
+// First returns the first home; self is set if it is this daemon.
+func (p Pair) First() (other *Peer, self bool) {
+	if p.N == 0 {
+		return nil, false
+	}
+	return p.Home[0].p, p.Home[0].p == nil
+}
+
+// HomeNums returns the numbers of all homes, for change detection.
+func (s *Set) HomeNums(buf []peer.Num) []peer.Num {
+	buf = buf[:0]
+	for _, h := range s.homes {
+		buf = append(buf, h.num)
+	}
+	return buf
+}
+
+// Rank returns how many live daemons precede this one in the rendezvous
+// order for a name. Duties that few daemons perform go to the lowest ranks.
+func (s *Set) Rank(now clock.Milli, name string) int {
+	hash := flow.Seed(name)
+	own := flow.Score(hash, s.selfSeed)
+	n := 0
+	for _, p := range s.peers {
+		if p.Alive(now) && p.Ready && !p.Out && flow.Score(hash, p.seed) > own {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/protocol/geneve/codec.go
@@ -0,0 +1,300 @@
+package geneve
+
+import (
+	"encoding/binary"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+// Fault tells why a packet can't be decoded.
+type Fault uint8
+
+// Faults of a packet.
+const (
+	OK Fault = iota
+	BadGeneve
+	BadOptions
+	BadRelay
+	BadIP
+	BadTransport
+	Fragment
+	OtherProtocol
+
+	// Faults is the number of faults.
+	Faults
+)
+
+var faultNames = [Faults]string{
+	"ok", "bad_geneve", "bad_options", "bad_relay", "bad_ip", "bad_transport", "fragment", "other_protocol",
+}
+
+// String returns the name used in metrics.
+func (f Fault) String() string {
+	return faultNames[f]
+}
+
+// Headroom is the space that a frame keeps before a received packet, enough
+// for the longest header that Encode writes.
+const Headroom = 96
+
+// Frame is a received packet in its buffer. Inner is where the IP packet
+// starts in Buf; VNI is the received identifier.
+type Frame struct {
+	Buf   []byte
+	Inner int
+	VNI   schema.VNI
+}
+
+// Decoder reads packets without allocation. It is not safe for concurrent
+// use.
+type Decoder struct {
+	geneve layers.Geneve
+	ip4    layers.IPv4
+	ip6    layers.IPv6
+	tcp    layers.TCP
+	udp    layers.UDP
+}
+
+// Decode reads the packet that starts at offset Headroom of buf. A note has
+// no inner packet.
+func (d *Decoder) Decode(buf []byte, p *Packet) (Frame, Fault) {
+	*p = Packet{}
+	data := buf[Headroom:]
+	if err := d.geneve.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
+		return Frame{}, BadGeneve
+	}
+	if d.geneve.Version != 0 || d.geneve.OAMPacket {
+		return Frame{}, BadGeneve
+	}
+	if d.geneve.OptionsLength > maxOptions {
+		return Frame{}, BadOptions
+	}
+	f := Frame{Buf: buf, Inner: len(buf) - len(d.geneve.Payload), VNI: schema.VNI(d.geneve.VNI)}
+	if fault := d.options(p); fault != OK {
+		return f, fault
+	}
+	if p.Relay.Step == Note {
+		return f, OK
+	}
+	return f, d.inner(p)
+}
+
+func (d *Decoder) options(p *Packet) Fault {
+	for _, o := range d.geneve.Options {
+		if o.Class != optionClass || o.Type != typeRelay {
+			continue
+		}
+		var ok bool
+		if p.Relay, ok = decodeRelay(o.Data); !ok {
+			return BadRelay
+		}
+		if p.Relay.Step != Note {
+			continue
+		}
+		if p.Key, ok = flow.DecodeKey(o.Data[relaySize:]); !ok {
+			return BadRelay
+		}
+	}
+	return OK
+}
+
+func (d *Decoder) inner(p *Packet) Fault {
+	var transport []byte
+	var protocol layers.IPProtocol
+	switch d.geneve.Protocol {
+	case layers.EthernetTypeIPv4:
+		if err := d.ip4.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil {
+			return BadIP
+		}
+		if d.ip4.FragOffset != 0 || d.ip4.Flags&layers.IPv4MoreFragments != 0 {
+			return Fragment
+		}
+		p.Key.Source, p.Key.Destination = mapped(d.ip4.SrcIP), mapped(d.ip4.DstIP)
+		transport, protocol = d.ip4.Payload, d.ip4.Protocol
+	case layers.EthernetTypeIPv6:
+		if err := d.ip6.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil {
+			return BadIP
+		}
+		copy(p.Key.Source[:], d.ip6.SrcIP)
+		copy(p.Key.Destination[:], d.ip6.DstIP)
+		transport, protocol = d.ip6.Payload, d.ip6.NextHeader
+	default:
+		return OtherProtocol
+	}
+	return d.transport(p, protocol, transport)
+}
+
+// mapped returns the IPv4-mapped form of a 4-byte address.
+func mapped(ip []byte) [16]byte {
+	a := [16]byte{10: 0xff, 11: 0xff}
+	copy(a[12:], ip)
+	return a
+}
+
+func (d *Decoder) transport(p *Packet, protocol layers.IPProtocol, data []byte) Fault {
+	p.Key.Protocol = uint8(protocol)
+	switch protocol {
+	case layers.IPProtocolTCP:
+		if err := d.tcp.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
+			return BadTransport
+		}
+		p.Key.SourcePort, p.Key.Port = uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort)
+		p.Open = d.tcp.SYN && !d.tcp.ACK
+	case layers.IPProtocolUDP:
+		if err := d.udp.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
+			return BadTransport
+		}
+		p.Key.SourcePort, p.Key.Port = uint16(d.udp.SrcPort), uint16(d.udp.DstPort)
+		p.Open = isInitial(d.udp.Payload)
+	default:
+		return OtherProtocol
+	}
+	return OK
+}
+
+const (
+	quicVersion1 = 0x00000001
+	quicVersion2 = 0x6b3343cf
+)
+
+// isInitial reports whether a datagram starts with a QUIC Initial packet, by
+// the invariant header and the packet type (RFC 9000, 17.2.2; RFC 9369, 3.2).
+func isInitial(b []byte) bool {
+	if len(b) < 5 || b[0]&0xc0 != 0xc0 {
+		return false
+	}
+	kind := b[0] >> 4 & 3
+	switch binary.BigEndian.Uint32(b[1:]) {
+	case quicVersion1:
+		return kind == 0
+	case quicVersion2:
+		return kind == 1
+	}
+	return false
+}
+
+// Sequence returns the sequence number of the last decoded TCP packet.
+func (d *Decoder) Sequence() uint32 {
+	return d.tcp.Seq
+}
+
+// Encoder writes headers without allocation. It is not safe for concurrent
+// use.
+type Encoder struct {
+	geneve layers.Geneve
+	option layers.GeneveOption
+	opts   [1]*layers.GeneveOption
+	data   [noteSize]byte
+	buf    gopacket.SerializeBuffer
+}
+
+// NewEncoder returns an encoder.
+func NewEncoder() *Encoder {
+	e := &Encoder{buf: gopacket.NewSerializeBufferExpectedSize(Headroom, 0)}
+	e.option = layers.GeneveOption{Class: optionClass, Type: typeRelay}
+	e.opts[0] = &e.option
+	return e
+}
+
+// Deliver returns the frame's packet with the header for a target.
+func (e *Encoder) Deliver(f Frame, vni schema.VNI) []byte {
+	e.geneve.Options = nil
+	return e.header(f, vni)
+}
+
+// Forward returns the frame's packet with the header for another daemon.
+func (e *Encoder) Forward(f Frame, r Relay) []byte {
+	e.option.Data = r.append(e.data[:0])
+	e.geneve.Options = e.opts[:]
+	return e.header(f, f.VNI)
+}
+
+// header writes the header into the room before the inner packet.
+func (e *Encoder) header(f Frame, vni schema.VNI) []byte {
+	e.geneve.VNI = uint32(vni)
+	e.geneve.Protocol = layers.EthernetTypeIPv4
+	if f.Buf[f.Inner]>>4 == 6 {
+		e.geneve.Protocol = layers.EthernetTypeIPv6
+	}
+	h := e.serialize()
+	start := f.Inner - len(h)
+	copy(f.Buf[start:], h)
+	return f.Buf[start:]
+}
+
+func (e *Encoder) serialize() []byte {
+	// Clear and SerializeTo fail only on a VNI over 24 bits, which Pool.Check
+	// excludes, and received ones can't exceed.
+	_ = e.buf.Clear()
+	_ = e.geneve.SerializeTo(e.buf, gopacket.SerializeOptions{FixLengths: true})
+	return e.buf.Bytes()
+}
+
+// Note returns a packet that tells the target of a flow. It is valid until
+// the next call.
+func (e *Encoder) Note(k *flow.Key, r Relay) []byte {
+	e.option.Data = k.Append(r.append(e.data[:0]))
+	e.geneve.Options = e.opts[:]
+	e.geneve.VNI = 0
+	e.geneve.Protocol = layers.EthernetTypeIPv4
+	return e.serialize()
+}
+
+// Wrap returns an IP packet with payload in UDP, encapsulated in Geneve, as
+// fabrics and targets send it.
+func Wrap(src, dst schema.Service, vni schema.VNI, payload []byte) ([]byte, error) {
+	udp := &layers.UDP{SrcPort: layers.UDPPort(src.Port), DstPort: layers.UDPPort(dst.Port)}
+	ip := &layers.IPv4{
+		Version:  4,
+		TTL:      64,
+		Protocol: layers.IPProtocolUDP,
+		SrcIP:    src.Address.AsSlice(),
+		DstIP:    dst.Address.AsSlice(),
+	}
+	if err := udp.SetNetworkLayerForChecksum(ip); err != nil {
+		return nil, err
+	}
+	return serialize(vni, ip, udp, gopacket.Payload(payload))
+}
+
+// Reset returns a TCP reset that answers a SYN, encapsulated in Geneve.
+func Reset(k *flow.Key, vni schema.VNI, seq uint32) ([]byte, error) {
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(k.Port),
+		DstPort: layers.TCPPort(k.SourcePort),
+		Ack:     seq + 1,
+		RST:     true,
+		ACK:     true,
+	}
+	ip := &layers.IPv4{
+		Version:  4,
+		TTL:      64,
+		Protocol: layers.IPProtocolTCP,
+		SrcIP:    k.Destination[12:],
+		DstIP:    k.Source[12:],
+	}
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return nil, err
+	}
+	return serialize(vni, ip, tcp)
+}
+
+func serialize(vni schema.VNI, inner ...gopacket.SerializableLayer) ([]byte, error) {
+	buf := gopacket.NewSerializeBuffer()
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	gn := &layers.Geneve{Protocol: layers.EthernetTypeIPv4, VNI: uint32(vni)}
+	all := append([]gopacket.SerializableLayer{gn}, inner...)
+	if err := gopacket.SerializeLayers(buf, opts, all...); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// Payload returns the payload of the last decoded UDP packet.
+func (d *Decoder) Payload() []byte {
+	return d.udp.Payload
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,258 @@
+// Package setup reads and checks the settings of a daemon.
+//
+// Settings are one TOML file with Pascal case keys. The file is checked whole
+// before anything starts; every problem names the file, the line, the key and
+// what is allowed.
+package setup
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/sirupsen/logrus"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/transport/certs"
+	"coltsfootdock/pkg/schema"
+)
+
+var (
+	namespace = errorx.NewNamespace("setup")
+	// Invalid is the type of every settings error.
+	Invalid = namespace.NewType("invalid")
+)
+
+// Defaults and limits of the settings.
+const (
+	defaultIdleSeconds  = 900
+	minIdleSeconds      = 3
+	maxIdleSeconds      = 86400
+	defaultMaxRecords   = 200000
+	maxMaxRecords       = 2000000
+	defaultLeaveSeconds = 5
+	maxLeaveSeconds     = 300
+)
+
+// Log holds the settings of the log.
+type Log struct {
+	// Level is "debug", "info", "warning" or "error".
+	Level string
+	// Format is "text" or "json".
+	Format string
+}
+
+// Peer names a daemon to learn the view from while the platform is down.
+type Peer struct {
+	ID         schema.VMID
+	DataCentre schema.DataCentreID
+	Data       netip.AddrPort
+	Peer       netip.AddrPort
+}
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// ID names the VM and DataCentre the data centre that it runs in.
+	ID         schema.VMID
+	DataCentre schema.DataCentreID
+	// Data, Peer and Admin are the listening addresses for Geneve packets,
+	// other daemons and the administration API.
+	Data  netip.AddrPort
+	Peer  netip.AddrPort
+	Admin netip.AddrPort
+	// Platform is the base URL of the object API.
+	Platform string
+	// IdleSeconds is the silence after which a flow counts as closed.
+	IdleSeconds int
+	// MaxRecords bounds the flow records held in memory.
+	MaxRecords int
+	// LeaveSeconds is how long a graceful stop goes on passing packets.
+	LeaveSeconds int
+	// TokensFile holds the teams' tokens; without it the API takes all calls.
+	TokensFile string
+	// PProf serves profiles at /debug/pprof on the Admin address.
+	PProf    bool
+	Log      Log
+	Peers    []Peer
+	PeerTLS  certs.Files
+	AdminTLS certs.Files
+}
+
+// Defaults returns the settings that hold where the file says nothing.
+func Defaults() Settings {
+	return Settings{
+		IdleSeconds:  defaultIdleSeconds,
+		MaxRecords:   defaultMaxRecords,
+		LeaveSeconds: defaultLeaveSeconds,
+		Log:          Log{Level: "info", Format: "text"},
+	}
+}
+
+// Idle returns the idle limit as a span.
+func (s *Settings) Idle() clock.Milli {
+	return clock.Milli(s.IdleSeconds) * clock.Second
+}
+
+// Member returns the daemon's registration.
+func (s *Settings) Member() schema.Member {
+	return schema.Member{ID: s.ID, DataCentre: s.DataCentre, Data: s.Data, Peer: s.Peer, Admin: s.Admin}
+}
+
+// Members returns the peers as registrations.
+func (s *Settings) Members() []*schema.Member {
+	var list []*schema.Member
+	for _, p := range s.Peers {
+		list = append(list, &schema.Member{ID: p.ID, DataCentre: p.DataCentre, Data: p.Data, Peer: p.Peer})
+	}
+	return list
+}
+
+// Print returns the effective settings as TOML.
+func (s *Settings) Print() (string, error) {
+	data, err := toml.Marshal(s)
+	return string(data), err
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Invalid.New("%s: settings file can't be read: %s", path, errors.Unwrap(err))
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings; path is used in errors.
+func Parse(path string, data []byte) (*Settings, error) {
+	s := Defaults()
+	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, decodeError(path, err)
+	}
+	for _, p := range s.problems() {
+		return nil, Invalid.New("%s:%d: %s: %s", path, lineOf(data, p.key, p.nth), p.key, p.text)
+	}
+	return &s, nil
+}
+
+func decodeError(path string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, _ := strict.Errors[0].Position()
+		key := strings.Join(strict.Errors[0].Key(), ".")
+		return Invalid.New("%s:%d: %s: unknown key; docs/CONFIG.md lists the allowed ones", path, row, key)
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, _ := bad.Position()
+		return Invalid.New("%s:%d: %s: %s", path, row, strings.Join(bad.Key(), "."), allowed(bad))
+	}
+	return Invalid.New("%s: %s", path, err)
+}
+
+// allowed adds what an address may be to the decoder's message.
+func allowed(err *toml.DecodeError) string {
+	text := strings.TrimPrefix(err.Error(), "toml: ")
+	if strings.Contains(text, "ParseAddr") || strings.Contains(text, "ip:port") || strings.Contains(text, "port") {
+		text += `; allowed is "IP:port", such as "127.0.0.1:6081"`
+	}
+	return text
+}
+
+// problem is a value that decodes but is not allowed.
+type problem struct {
+	key  string
+	nth  int // which occurrence of the key in the file, from 1
+	text string
+}
+
+func (s *Settings) problems() []problem {
+	var list []problem
+	add := func(key string, nth int, format string, args ...any) {
+		list = append(list, problem{key: key, nth: nth, text: fmt.Sprintf(format, args...)})
+	}
+	name := func(key string, nth int, value string) {
+		if err := schema.CheckName(key, value); err != nil {
+			add(key, nth, "%s", err.(*errorx.Error).Message())
+		}
+	}
+	addr := func(key string, nth int, value netip.AddrPort) {
+		if !value.IsValid() || value.Port() == 0 {
+			add(key, nth, `missing address; allowed is "IP:port", such as "127.0.0.1:6081"`)
+		}
+	}
+	between := func(key string, value, low, high int) {
+		if value < low || value > high {
+			add(key, 1, "%d must be %d to %d", value, low, high)
+		}
+	}
+	name("ID", 1, string(s.ID))
+	name("DataCentre", 1, string(s.DataCentre))
+	addr("Data", 1, s.Data)
+	addr("Peer", 1, s.Peer)
+	addr("Admin", 1, s.Admin)
+	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		add("Platform", 1, "%q must be a URL such as http://127.0.0.1:7900", s.Platform)
+	}
+	between("IdleSeconds", s.IdleSeconds, minIdleSeconds, maxIdleSeconds)
+	between("MaxRecords", s.MaxRecords, 1, maxMaxRecords)
+	between("LeaveSeconds", s.LeaveSeconds, 1, maxLeaveSeconds)
+	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
+		add("Level", 1, "%q must be debug, info, warning or error", s.Log.Level)
+	}
+	if s.Log.Format != "text" && s.Log.Format != "json" {
+		add("Format", 1, "%q must be text or json", s.Log.Format)
+	}
+	seen := map[schema.VMID]bool{s.ID: true}
+	for i, p := range s.Peers {
+		nth := i + 2 // the daemon's own keys come first
+		name("ID", nth, string(p.ID))
+		name("DataCentre", nth, string(p.DataCentre))
+		addr("Data", nth, p.Data)
+		addr("Peer", nth, p.Peer)
+		if seen[p.ID] {
+			add("ID", nth, "%q stands twice; every VM has a name of its own", p.ID)
+		}
+		seen[p.ID] = true
+	}
+	files("PeerTLS", s.PeerTLS, true, add)
+	files("AdminTLS", s.AdminTLS, false, add)
+	return list
+}
+
+// files checks that a TLS section names all of its files or none.
+func files(section string, f certs.Files, authority bool, add func(string, int, string, ...any)) {
+	if f == (certs.Files{}) {
+		return
+	}
+	if f.Certificate == "" || f.Key == "" || authority && f.Authority == "" {
+		add("["+section+"]", 1, "Certificate, Key and, for PeerTLS, Authority must all be set")
+	}
+}
+
+// lineOf returns the line of the nth occurrence of a key, or 1 if the file
+// does not hold it.
+func lineOf(data []byte, key string, nth int) int {
+	pattern := regexp.MustCompile(`(?m)^\s*` + regexp.QuoteMeta(key) + `\b`)
+	if strings.HasPrefix(key, "[") {
+		pattern = regexp.MustCompile(`(?m)^\s*` + regexp.QuoteMeta(key))
+	}
+	found := pattern.FindAllIndex(data, nth)
+	if len(found) < nth {
+		return 1
+	}
+	start := found[nth-1][0]
+	text := data[:start]
+	for start < len(data) && data[start] == '\n' {
+		start++
+		text = data[:start]
+	}
+	return 1 + bytes.Count(text, []byte("\n"))
+}
--- /dev/null
+++ b/internal/transport/packet/packet.go
@@ -0,0 +1,130 @@
+// Package packet receives Geneve packets, has them decided and sends them on.
+package packet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"coltsfootdock/internal/coordination/daemon"
+	"coltsfootdock/internal/protocol/geneve"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	maxPacket    = 9216
+	socketBuffer = 4 << 20
+)
+
+// Decider decides one packet and returns the verdict and the daemon's own
+// relay header for notes.
+type Decider func(*geneve.Packet) (daemon.Verdict, geneve.Relay)
+
+// Counters count packets.
+type Counters struct {
+	Fault   func(geneve.Fault)
+	Verdict func(v *daemon.Verdict, bytes int)
+	// Unsent counts packets that the socket refused.
+	Unsent func()
+}
+
+// Plane is the data path of one daemon.
+type Plane struct {
+	conn     *net.UDPConn
+	decide   Decider
+	counters Counters
+	decoder  geneve.Decoder
+	encoder  *geneve.Encoder
+	mu       sync.Mutex // held while Serve runs
+}
+
+// Listen opens the data path on a UDP address.
+func Listen(addr netip.AddrPort, d Decider, c Counters) (*Plane, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel may grant less; the packets that don't fit are lost.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return &Plane{conn: conn, decide: d, counters: c, encoder: geneve.NewEncoder()}, nil
+}
+
+// Close closes the socket and waits for Serve.
+func (p *Plane) Close() error {
+	err := p.conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Serve handles packets until ctx ends or the socket is closed.
+func (p *Plane) Serve(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buf := make([]byte, geneve.Headroom+maxPacket)
+	var pkt geneve.Packet
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf[geneve.Headroom:])
+		if errors.Is(err, net.ErrClosed) {
+			return context.Cause(ctx)
+		}
+		if err != nil {
+			continue // such as an ICMP error for an earlier packet
+		}
+		p.handle(buf[:geneve.Headroom+n], from, &pkt)
+	}
+}
+
+func (p *Plane) handle(buf []byte, from netip.AddrPort, pkt *geneve.Packet) {
+	f, fault := p.decoder.Decode(buf, pkt)
+	if fault != geneve.OK {
+		p.counters.Fault(fault)
+		return
+	}
+	v, self := p.decide(pkt)
+	p.counters.Verdict(&v, len(buf)-geneve.Headroom)
+	switch v.Action {
+	case daemon.Deliver:
+		p.send(p.encoder.Deliver(f, v.VNI), v.To)
+	case daemon.Forward:
+		p.send(p.encoder.Forward(f, v.Relay), v.To)
+	case daemon.Refuse:
+		p.refuse(pkt, f.VNI, from)
+	}
+	p.notes(pkt, &v, self)
+}
+
+func (p *Plane) notes(pkt *geneve.Packet, v *daemon.Verdict, self geneve.Relay) {
+	if v.NoteCount == 0 {
+		return
+	}
+	self.Step, self.Target = geneve.Note, v.Noted
+	data := p.encoder.Note(&pkt.Key, self)
+	for _, to := range v.Notes[:v.NoteCount] {
+		p.send(data, to)
+	}
+}
+
+// refuse answers a SYN with a reset by way of the fabric.
+func (p *Plane) refuse(pkt *geneve.Packet, vni schema.VNI, fabric netip.AddrPort) {
+	data, err := geneve.Reset(&pkt.Key, vni, p.decoder.Sequence())
+	if err != nil {
+		p.counters.Unsent()
+		return
+	}
+	p.send(data, fabric)
+}
+
+func (p *Plane) send(data []byte, to netip.AddrPort) {
+	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
+		p.counters.Unsent()
+	}
+}
