internal/coordination/daemon: planned changes proved in an in-memory network

Ruled out: a cluster simulator; world_test.go only joins the real machines by delayed, lossy messages in model time. Change: a daemon to which all peers fall silent at once keeps them as homes for member.Gone, and not itself. Conclusion: the view lease with homes carries planned changes.

--- /dev/null
+++ b/internal/coordination/daemon/change_test.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/protocol/geneve"
+	"coltsfootdock/internal/protocol/object"
+	"coltsfootdock/internal/state/view"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	deskVNI  = 101
+	proofVNI = 102
+)
+
+// scenario is one disturbance of a running system of today's size.
+type scenario struct {
+	name string
+	act  func(*world, *schema.Pool)
+	// lost is set if flows end with a target, daemon or data centre that is
+	// taken away, so that only the others count.
+	lost bool
+}
+
+var scenarios = []scenario{
+	{name: "nothing", act: func(*world, *schema.Pool) {}},
+	{name: "target drained", act: drain},
+	{name: "target added", act: add},
+	{name: "target replaced", act: func(w *world, p *schema.Pool) {
+		add(w, p)
+		w.run(2 * clock.Second)
+		drain(w, p)
+	}},
+	{name: "daemon joins", act: func(w *world, _ *schema.Pool) { w.join("vm-new", zones[0]) }},
+	{name: "daemon leaves", act: func(w *world, _ *schema.Pool) { w.nodes[2].leave() }},
+	{name: "daemon joins during drain", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		w.run(clock.Second)
+		w.join("vm-new", zones[0])
+	}},
+	{name: "all daemons restarted in turn after drain", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		for i := range 7 {
+			w.run(4 * clock.Second)
+			old := w.nodes[i]
+			old.leave()
+			w.join(string(old.member.ID)+"-next", old.member.DataCentre)
+		}
+	}},
+	{name: "daemon killed during drain", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		w.run(3 * clock.Second)
+		w.nodes[1].kill()
+	}},
+	{name: "daemon frozen over drain", act: func(w *world, p *schema.Pool) {
+		w.nodes[1].freeze(6 * clock.Second)
+		w.run(500)
+		drain(w, p)
+	}},
+	{name: "daemon frozen during drain", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		w.run(1200)
+		w.nodes[1].freeze(5 * clock.Second)
+	}},
+	{name: "daemon cut from platform over drain", act: func(w *world, p *schema.Pool) {
+		w.nodes[1].cutOff = true
+		drain(w, p)
+	}},
+	{name: "daemon deaf and cut from platform over drain", act: isolate},
+	{name: "platform down after drain", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		w.run(600)
+		w.plat.down = true
+		w.run(10 * clock.Second)
+		w.plat.down = false
+	}},
+	{name: "platform slow over drain and add", act: func(w *world, p *schema.Pool) {
+		w.plat.delay = 900
+		drain(w, p)
+		w.run(1 * clock.Second)
+		add(w, p)
+	}},
+	{name: "change on change", act: func(w *world, p *schema.Pool) {
+		drain(w, p)
+		w.run(900)
+		add(w, p)
+		w.run(700)
+		p.Targets[5].Drain = true
+		w.store(object.Pool, "desk", p)
+		w.run(400)
+		p.Targets[3].Drain = false
+		w.store(object.Pool, "desk", p)
+	}},
+	{name: "answers of writes lost", act: func(w *world, p *schema.Pool) {
+		w.plat.lose = 3
+		drain(w, p)
+	}},
+}
+
+func drain(w *world, p *schema.Pool) {
+	p.Targets[3].Drain = true
+	w.store(object.Pool, "desk", p)
+}
+
+func add(w *world, p *schema.Pool) {
+	w.addTarget(p)
+	w.store(object.Pool, "desk", p)
+}
+
+// today builds a system of today's size with running flows.
+func today(seed uint64, long, perSecond int, during clock.Milli, opts ...Option) (*world, *schema.Pool) {
+	w := newWorld(seed, 7, opts...)
+	desks := w.pool(desk, deskVNI, 14)
+	w.pool(proof, proofVNI, 4)
+	w.run(6 * clock.Second)
+	w.long(desk, deskVNI, long, 4*clock.Second, 2*clock.Second)
+	w.load(desk, deskVNI, perSecond, 6*clock.Second+during)
+	w.load(proof, proofVNI, perSecond/10+1, 6*clock.Second+during)
+	w.run(6 * clock.Second)
+	return w, desks
+}
+
+// TestPlannedChangesBreakNoFlow proves that established flows survive each
+// planned change, also while a daemon or the platform fails.
+func TestPlannedChangesBreakNoFlow(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= 3; seed++ {
+				w, p := today(seed, 1400, 150, 40*clock.Second)
+				s.act(w, p)
+				w.run(30 * clock.Second)
+				require.Zero(t, w.stats.broken, "seed %d", seed)
+				require.Zero(t, w.stats.wrongPool, "seed %d", seed)
+				require.Zero(t, w.stats.refused, "seed %d", seed)
+				require.Greater(t, w.stats.opened, 6000)
+			}
+		})
+	}
+}
+
+// isolate keeps one daemon's view old, while the fabric still sends to it.
+func isolate(w *world, p *schema.Pool) {
+	w.nodes[1].deaf, w.nodes[1].cutOff = true, true
+	drain(w, p)
+	w.run(8 * clock.Second)
+	w.nodes[1].deaf, w.nodes[1].cutOff = false, false
+}
+
+// TestWithoutViewLeaseFlowsBreak shows that the view lease and the grace
+// period carry the proof: without either, an old view breaks flows.
+func TestWithoutViewLeaseFlowsBreak(t *testing.T) {
+	noGrace := func(w *world) {
+		w.tune = func(m *Machine) { m.view = view.New(0) }
+	}
+	noLease := func(w *world) {
+		w.decide = func(n *node, now clock.Milli, p *geneve.Packet) Verdict {
+			n.m.set.Confirm(now, n.m.view.Revision(), n.m.view.Revision())
+			return n.m.Decide(now, p)
+		}
+	}
+	tests := []struct {
+		name   string
+		tune   func(*world)
+		broken bool
+	}{
+		{"both", func(*world) {}, false},
+		{"no grace period", noGrace, true},
+		{"no lease", noLease, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(1, 0)
+			tt.tune(w)
+			for i := range 7 {
+				w.join("vm-"+string(rune('1'+i)), zones[i%3])
+			}
+			p := w.pool(desk, deskVNI, 14)
+			w.run(6 * clock.Second)
+			w.load(desk, deskVNI, 600, 20*clock.Second)
+			w.run(4 * clock.Second)
+			isolate(w, p)
+			w.run(20 * clock.Second)
+			require.Equal(t, tt.broken, w.stats.broken > 0, "broken %d", w.stats.broken)
+		})
+	}
+}
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -284,17 +284,39 @@
 	s.lastTick, s.ready, s.out = now, ready, out
 	last := slices.Clone(s.homes)
 	s.homes = s.homes[:0]
-	if ready && !out {
-		s.homes = append(s.homes, home{num: s.selfNum, seed: s.selfSeed})
+	if s.Deaf(now) {
+		s.addHomes(func(p *Peer) bool { return now-p.Heard <= Gone })
+	} else {
+		if ready && !out {
+			s.homes = append(s.homes, home{num: s.selfNum, seed: s.selfSeed})
+		}
+		s.addHomes(func(p *Peer) bool { return p.Alive(now) })
+	}
+	if !slices.Equal(last, s.homes) {
+		s.former = last
 	}
+}
+
+func (s *Set) addHomes(include func(*Peer) bool) {
 	for _, p := range s.Peers() {
-		if p.Alive(now) && p.Ready && !p.Out {
+		if p.Ready && !p.Out && include(p) {
 			s.homes = append(s.homes, home{num: p.Num, seed: p.seed, p: p})
 		}
 	}
-	if !slices.Equal(last, s.homes) {
-		s.former = last
+}
+
+// Deaf reports whether all peers fell silent at once. That is more likely a
+// fault of this daemon's receiving side than of all the others, so for a
+// while it takes them for homes still, and not itself.
+func (s *Set) Deaf(now clock.Milli) bool {
+	lately := false
+	for _, p := range s.peers {
+		if p.Alive(now) {
+			return false
+		}
+		lately = lately || now-p.Heard <= Gone && p.Ready && !p.Out
 	}
+	return lately
 }
 
 // Alive reports whether the peer was heard lately.
