--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -67,6 +67,10 @@
 	Data  netip.AddrPort
 	Peer  netip.AddrPort
 	Admin netip.AddrPort
+	// DataPublic and PeerPublic are the addresses that others use, if they
+	// differ from Data and Peer.
+	DataPublic netip.AddrPort
+	PeerPublic netip.AddrPort
 	// Platform is the base URL of the object API.
 	Platform string
 	// IdleSeconds is the silence after which a flow counts as closed.
@@ -102,7 +106,14 @@
 
 // Member returns the daemon's registration.
 func (s *Settings) Member() schema.Member {
-	return schema.Member{ID: s.ID, DataCentre: s.DataCentre, Data: s.Data, Peer: s.Peer, Admin: s.Admin}
+	m := schema.Member{ID: s.ID, DataCentre: s.DataCentre, Data: s.Data, Peer: s.Peer, Admin: s.Admin}
+	if s.DataPublic.IsValid() {
+		m.Data = s.DataPublic
+	}
+	if s.PeerPublic.IsValid() {
+		m.Peer = s.PeerPublic
+	}
+	return m
 }
 
 // Members returns the peers as registrations.
