--- a/internal/protocol/geneve/codec.go
+++ b/internal/protocol/geneve/codec.go
@@ -107,7 +107,7 @@
 	var protocol layers.IPProtocol
 	switch d.geneve.Protocol {
 	case layers.EthernetTypeIPv4:
-		if err := d.ip4.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil {
+		if err := d.ip4.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil || d.ip4.Version != 4 {
 			return BadIP
 		}
 		if d.ip4.FragOffset != 0 || d.ip4.Flags&layers.IPv4MoreFragments != 0 {
@@ -116,7 +116,7 @@
 		p.Key.Source, p.Key.Destination = mapped(d.ip4.SrcIP), mapped(d.ip4.DstIP)
 		transport, protocol = d.ip4.Payload, d.ip4.Protocol
 	case layers.EthernetTypeIPv6:
-		if err := d.ip6.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil {
+		if err := d.ip6.DecodeFromBytes(d.geneve.Payload, gopacket.NilDecodeFeedback); err != nil || d.ip6.Version != 6 {
 			return BadIP
 		}
 		copy(p.Key.Source[:], d.ip6.SrcIP)
--- a/internal/transport/packet/packet.go
+++ b/internal/transport/packet/packet.go
@@ -37,7 +37,11 @@
 	counters Counters
 	decoder  geneve.Decoder
 	encoder  *geneve.Encoder
-	mu       sync.Mutex // held while Serve runs
+	// pkt and verdict belong to the packet at hand; they are kept here so that
+	// none is allocated.
+	pkt     geneve.Packet
+	verdict daemon.Verdict
+	mu      sync.Mutex // held while Serve runs
 }
 
 // Listen opens the data path on a UDP address.
@@ -70,27 +74,34 @@
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
 	defer stop()
 	buf := make([]byte, geneve.Headroom+maxPacket)
-	var pkt geneve.Packet
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf[geneve.Headroom:])
-		if errors.Is(err, net.ErrClosed) {
+		if err := p.one(buf); errors.Is(err, net.ErrClosed) {
 			return context.Cause(ctx)
 		}
-		if err != nil {
-			continue // such as an ICMP error for an earlier packet
-		}
-		p.handle(buf[:geneve.Headroom+n], from, &pkt)
 	}
 }
 
+// one receives and handles one packet. Errors other than a closed socket are
+// passing ones, such as an ICMP error for an earlier packet.
+func (p *Plane) one(buf []byte) error {
+	n, from, err := p.conn.ReadFromUDPAddrPort(buf[geneve.Headroom:])
+	if err != nil {
+		return err
+	}
+	p.handle(buf[:geneve.Headroom+n], from, &p.pkt)
+	return nil
+}
+
 func (p *Plane) handle(buf []byte, from netip.AddrPort, pkt *geneve.Packet) {
 	f, fault := p.decoder.Decode(buf, pkt)
 	if fault != geneve.OK {
 		p.counters.Fault(fault)
 		return
 	}
-	v, self := p.decide(pkt)
-	p.counters.Verdict(&v, len(buf)-geneve.Headroom)
+	var self geneve.Relay
+	p.verdict, self = p.decide(pkt)
+	v := &p.verdict
+	p.counters.Verdict(v, len(buf)-geneve.Headroom)
 	switch v.Action {
 	case daemon.Deliver:
 		p.send(p.encoder.Deliver(f, v.VNI), v.To)
@@ -99,7 +110,7 @@
 	case daemon.Refuse:
 		p.refuse(pkt, f.VNI, from)
 	}
-	p.notes(pkt, &v, self)
+	p.notes(pkt, v, self)
 }
 
 func (p *Plane) notes(pkt *geneve.Packet, v *daemon.Verdict, self geneve.Relay) {
