internal/coordination: configuration, refusals and old views proved

Ruled out: a longer suspicion span, which slows the answer to a death. Change: what other daemons heard counts for liveness; a daemon that knows its view is old, hears nobody, or did not run drops what it can't pass on and says so in its heartbeats; only a first packet without data is refused. Conclusion: old views no longer decide.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -92,6 +92,18 @@
 		p.Targets[3].Drain = false
 		w.store(object.Pool, "desk", p)
 	}},
+	{name: "data centre cut off, platform reached", act: func(w *world, _ *schema.Pool) {
+		w.partition("dc-c", true)
+		w.run(12 * clock.Second)
+		w.partition("dc-c", false)
+	}},
+	{name: "data centre cut off over drain, platform reached", act: func(w *world, p *schema.Pool) {
+		w.partition("dc-c", true)
+		w.run(2 * clock.Second)
+		drain(w, p)
+		w.run(10 * clock.Second)
+		w.partition("dc-c", false)
+	}},
 	{name: "answers of writes lost", act: func(w *world, p *schema.Pool) {
 		w.plat.lose = 3
 		drain(w, p)
--- a/internal/coordination/daemon/cold_test.go
+++ b/internal/coordination/daemon/cold_test.go
@@ -110,16 +110,21 @@
 	}
 }
 
-// restart gives a target a new process, which loses its flows and starts
-// cold.
-func (w *world) restart(h *host) {
-	h.boot = w.rng.Uint64()
-	h.state = peer.Starting
+// giveUpOn ends the flows of a target on the client's side.
+func (w *world) giveUpOn(h *host) {
 	for _, c := range w.flows {
 		if c.host == h {
 			c.done = true
 		}
 	}
+}
+
+// restart gives a target a new process, which loses its flows and starts
+// cold.
+func (w *world) restart(h *host) {
+	h.boot = w.rng.Uint64()
+	h.state = peer.Starting
+	w.giveUpOn(h)
 	clear(h.flows)
 }
 
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -51,6 +51,9 @@
 			return v
 		}
 	}
+	if !d.fresh && d.m.set.Blind(d.now, d.m.view.Revision()) {
+		return d.blind()
+	}
 	if d.entry == nil {
 		return drop(NoRoute)
 	}
@@ -76,11 +79,25 @@
 	}
 }
 
+// blind handles a packet that this daemon may not decide and can't pass on: it
+// keeps the record that the packet brings, and waits for the packet to be
+// repeated.
+func (d *decision) blind() Verdict {
+	if d.p.Relay.Step == geneve.Store && d.p.Relay.Target != 0 {
+		if _, ok := d.m.records.Get(d.p.Key); !ok {
+			d.m.records.Put(d.now, d.p.Key, d.p.Relay.Target)
+		}
+	}
+	return drop(OldView)
+}
+
 // noPool handles a packet for a route whose pool does not exist. Packets of
 // established flows are dropped without an answer, so that the flows go on
-// when a renamed pool appears.
+// when a renamed pool appears. A new flow is refused, but not one whose first
+// packet carries data: a copy of it may have been passed on and run.
 func (d *decision) noPool() Verdict {
-	if d.p.Open && d.fresh && d.p.Relay.Step == geneve.FromFabric && d.p.Key.Protocol == flow.ProtocolTCP {
+	first := d.p.Open && !d.p.Payload && d.p.Key.Protocol == flow.ProtocolTCP
+	if first && d.fresh && d.p.Relay.Step == geneve.FromFabric {
 		return Verdict{Action: Refuse, Reason: NoPool, Name: d.entry.Route.Name}
 	}
 	return drop(NoPool)
--- a/internal/coordination/daemon/machine.go
+++ b/internal/coordination/daemon/machine.go
@@ -190,9 +190,10 @@
 	return m.records.Len()
 }
 
-// Ready reports whether the daemon may decide on packets.
+// Ready reports whether the daemon may decide on packets, so that a fabric
+// should send it some.
 func (m *Machine) Ready(now clock.Milli) bool {
-	return m.ready && !m.retired()
+	return m.ready && !m.retired() && !m.set.Blind(now, m.view.Revision())
 }
 
 // Leave starts a graceful stop: the daemon stops being a home and hands its
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -32,6 +32,7 @@
 	OverBudget
 	TargetOut
 	UnknownPeer
+	OldView
 	IsNote
 
 	// Reasons is the number of reasons.
@@ -40,7 +41,7 @@
 
 var reasonNames = [Reasons]string{
 	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
-	"target_out", "unknown_peer", "note",
+	"target_out", "unknown_peer", "old_view", "note",
 }
 
 // String returns the name used in metrics.
--- a/internal/coordination/daemon/world_test.go
+++ b/internal/coordination/daemon/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/health"
@@ -38,6 +39,8 @@
 	stats  stats
 	flows  map[flow.Key]*client
 	next   int
+	// debug keeps the path of each flow.
+	debug bool
 	// why holds the reasons for the first broken flows.
 	why []string
 }
@@ -87,6 +90,18 @@
 	interval clock.Milli
 	last     clock.Milli // last packet that was delivered
 	done     bool
+	// path lists what became of the flow's packets, newest last.
+	path []string
+}
+
+// maxPath is how many steps of a flow are kept for a trace.
+const maxPath = 24
+
+func (c *client) step(format string, args ...any) {
+	if len(c.path) == maxPath {
+		c.path = c.path[1:]
+	}
+	c.path = append(c.path, fmt.Sprintf(format, args...))
 }
 
 type event struct {
@@ -397,6 +412,10 @@
 func (n *node) packet(c *client, p geneve.Packet) {
 	w := n.w
 	v := w.decide(n, n.time(), &p)
+	if w.debug {
+		c.step("%d %s open=%t step=%d from=%d: action=%d step=%d reason=%s target=%x fresh=%t rev=%d", w.now, n.member.ID, p.Open, p.Relay.Step, p.Relay.From,
+			v.Action, v.Relay.Step, v.Reason, v.Noted, n.m.set.Fresh(n.time(), n.m.view.Revision()), n.m.view.Revision())
+	}
 	for _, to := range v.Notes[:v.NoteCount] {
 		note := geneve.Packet{Key: p.Key, Relay: geneve.Relay{Step: geneve.Note, From: n.m.set.Num(), Target: v.Noted}}
 		n.pass(to, c, note)
@@ -430,6 +449,7 @@
 	}
 	if h.vni != c.vni || v.VNI != c.vni {
 		w.stats.wrongPool++
+		w.trace("packet of VNI %d at %s of VNI %d\n%s", v.VNI, h.target.ID, h.vni, strings.Join(c.path, "\n"))
 		return
 	}
 	h.packets++
@@ -450,7 +470,7 @@
 		return // a repeated first packet is answered, and ignored by the client
 	}
 	if !h.flows[c.key] || h != c.host {
-		w.trace("reset by %s, established on %s, last %d", h.target.ID, c.host.target.ID, w.now-c.last)
+		w.trace("reset by %s, established on %s, last %d %s", h.target.ID, c.host.target.ID, w.now-c.last, strings.Join(c.path, "\n"))
 		w.end(c, &w.stats.broken) // the target resets a flow that it does not know
 		return
 	}
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -55,6 +55,8 @@
 	Ready    bool
 	Out      bool
 	Platform bool
+	// Blind is set while the daemon said that its view is old.
+	Blind bool
 	// lastTime and lastAt are the peer's clock and ours at its newest
 	// heartbeat, for the echo.
 	lastTime clock.Milli
@@ -211,6 +213,7 @@
 		Age:      -1,
 		Ready:    s.ready,
 		Platform: s.platform,
+		Blind:    s.Blind(now, rev),
 		Out:      s.out,
 	}
 	if to.beats%memberEvery == 0 {
@@ -249,6 +252,7 @@
 		p.Member = *h.Member
 	}
 	p.Ready, p.Out, p.Platform, p.Revision = h.Ready, h.Out, h.Platform, h.Revision
+	p.Blind = h.Blind
 	p.Heard, p.lastTime, p.lastAt = now, h.Time, now
 	s.newest = max(s.newest, h.Revision)
 	if h.Echo == 0 {
@@ -302,19 +306,30 @@
 
 func (s *Set) addHomes(include func(*Peer) bool) {
 	for _, p := range s.Peers() {
-		if p.Ready && !p.Out && include(p) {
+		if p.Ready && !p.Out && !p.Blind && include(p) {
 			s.homes = append(s.homes, home{num: p.Num, seed: p.seed, p: p})
 		}
 	}
 }
 
+// Blind reports whether the view of revision mine is known to be old, or this
+// daemon can't tell as it hears nobody or did not run. A view whose lease has
+// lapsed for another reason, such as a peer that died while the platform is
+// down, is the best there is.
+func (s *Set) Blind(now clock.Milli, mine schema.Version) bool {
+	if now-s.confirmed <= Lease && s.newest <= mine {
+		return false
+	}
+	return s.newest > mine || s.Deaf(now) || now-s.lastTick > pause
+}
+
 // Deaf reports whether all peers fell silent at once. That is more likely a
 // fault of this daemon's receiving side than of all the others, so for a
 // while it takes them for homes still, and not itself.
 func (s *Set) Deaf(now clock.Milli) bool {
 	lately := false
 	for _, p := range s.peers {
-		if p.Alive(now) {
+		if now-p.Heard <= Suspect {
 			return false
 		}
 		lately = lately || now-p.Heard <= Gone && p.Ready && !p.Out
@@ -322,9 +337,11 @@
 	return lately
 }
 
-// Alive reports whether the peer was heard lately.
+// Alive reports whether the peer was heard lately, here or by another daemon.
+// What others heard counts, so that daemons with lossy or cut links between
+// them still agree on the homes.
 func (p *Peer) Alive(now clock.Milli) bool {
-	return now-p.Heard <= Suspect
+	return now-max(p.Heard, p.sent) <= Suspect
 }
 
 // Met reports whether every live peer answered this daemon, so that each of
--- a/internal/protocol/geneve/relay.go
+++ b/internal/protocol/geneve/relay.go
@@ -49,8 +49,10 @@
 	Key flow.Key
 	// Open is set if the packet may be the first of its flow: a TCP SYN or a
 	// QUIC Initial packet.
-	Open  bool
-	Relay Relay
+	Open bool
+	// Payload is set if the packet carries data for the target.
+	Payload bool
+	Relay   Relay
 }
 
 const (
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -70,6 +70,8 @@
 	Platform bool
 	// Ready is set once the sender may be a home.
 	Ready bool
+	// Blind is set while the sender knows that its view is old or can't tell.
+	Blind bool
 	// Out is set while the sender leaves or is marked out.
 	Out    bool
 	Heard  []Heard
