internal/coordination/homes: the list of homes is agreed, and homes decide in order

With it fixed, path traces of lossy links showed two more faults: a pair whose two members each thought the other dead, and a first home that took its own proposal for agreed when the answer was lost. Ruled out: full home sets with drops until a daemon is gone (10 s without new flows in moving buckets after each death). Change: the list of homes is a platform object, written by a daemon that hears most of the former list, one daemon a change, 2 s apart, renewed as a lease; the first live home of a pair proposes and the second confirms; without its partner a home decides only with a quorum; hints of cut-off daemons are never authoritative; planners need the quorum. Conclusion: a cut no longer breaks flows in the model while the platform is reached from both sides.

--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/member"
 	"coltsfootdock/internal/protocol/geneve"
@@ -109,7 +111,7 @@
 	if d.p.Relay.Hops >= maxHops {
 		return Verdict{}, false
 	}
-	other := d.homes().Other(d.p.Relay.From)
+	other := d.home(d.m.set.Num(), d.p.Relay.From)
 	if other == nil {
 		return Verdict{}, false
 	}
@@ -120,8 +122,17 @@
 	return d.forward(other, geneve.Ask, hint), true
 }
 
-func (d *decision) homes() member.Pair {
-	return d.m.set.Homes(d.hash)
+// home returns the flow's first live home that is none of the given daemons,
+// or nil.
+func (d *decision) home(not ...peer.Num) *member.Peer {
+	pair := d.m.homes.Pair(d.hash)
+	for _, n := range pair.Num[:pair.N] {
+		p := d.m.set.ByNum(n)
+		if p != nil && p.Alive(d.now) && !slices.Contains(not, n) {
+			return p
+		}
+	}
+	return nil
 }
 
 func (d *decision) forward(to *member.Peer, s geneve.Step, t schema.Handle) Verdict {
@@ -156,15 +167,25 @@
 	if ok {
 		hint = r.Target
 	}
-	pair := d.homes()
-	first, self := pair.First()
-	if first != nil {
-		return d.forward(first, geneve.Ask, hint)
+	return d.atHome(hint)
+}
+
+// atHome decides as the first home, or as the second while the first is dead,
+// or asks the home that does.
+func (d *decision) atHome(hint schema.Handle) Verdict {
+	pair := d.m.homes.Pair(d.hash)
+	self := d.m.set.Num()
+	if pair.N == 0 || pair.Num[0] == self {
+		return d.asHome(hint)
 	}
-	if self || pair.N == 0 {
+	first := d.home(self)
+	if pair.Has(self) && (first == nil || first.Num != pair.Num[0]) {
 		return d.asHome(hint)
 	}
-	return drop(NotReady)
+	if first != nil && d.p.Relay.Hops < maxHops {
+		return d.forward(first, geneve.Ask, hint)
+	}
+	return drop(NoHome)
 }
 
 // atRest handles a packet of a bucket whose flows are all where the table
@@ -212,16 +233,22 @@
 		d.count = 0
 		return d.atRest()
 	}
-	return d.asHome(d.p.Relay.Target)
+	return d.atHome(d.p.Relay.Target)
 }
 
 // asHome decides as a home of the flow. Hint is a target that the asker
 // remembers from an earlier home.
 func (d *decision) asHome(hint schema.Handle) Verdict {
 	r, ok := d.m.records.Get(d.p.Key)
+	if ok && !r.Confirmed() {
+		hint, ok = r.Target, false
+	}
 	if ok && !d.reopens(r.Target, r.Opened) {
 		return d.known(r.Target, d.now-r.Fresh > d.m.refresh)
 	}
+	if d.alone() && !d.m.quorum(d.now) {
+		return drop(NoQuorum)
+	}
 	if !ok && hint != 0 && d.entry.Dests[hint] != nil {
 		return d.choose(hint)
 	}
@@ -231,11 +258,16 @@
 	return d.open()
 }
 
+// alone reports whether no daemon hears the flow's other home.
+func (d *decision) alone() bool {
+	return d.m.homes.Pair(d.hash).N > 1 && d.home(d.m.set.Num()) == nil
+}
+
 // known delivers a flow that has a record. A record that the second home has
 // not seen for a while passes by it, to keep its copy alive.
 func (d *decision) known(t schema.Handle, stale bool) Verdict {
-	if stale {
-		return d.choose(t)
+	if other := d.second(); stale && other != nil {
+		return d.forward(other, geneve.Store, t)
 	}
 	r, _ := d.m.records.Get(d.p.Key)
 	d.m.records.Touch(d.now, d.p.Key, r)
@@ -304,17 +336,21 @@
 	return d.choose(t)
 }
 
-// choose stores the target of a flow here and at the second home, which then
-// delivers the packet: a target sees no packet of a new flow before both
-// homes have its record.
+// choose proposes the target of a flow to the second home, which stores it,
+// delivers the packet and confirms: a target sees no packet of a new flow
+// before both homes have its record. Without a second home it decides alone.
 func (d *decision) choose(t schema.Handle) Verdict {
-	if !d.m.records.Put(d.now, d.p.Key, t) {
-		return d.unrecorded(t)
+	other := d.second()
+	if other == nil {
+		if !d.m.records.Put(d.now, d.p.Key, t) {
+			return d.unrecorded(t)
+		}
+		return d.deliver(t)
 	}
-	if other := d.second(); other != nil {
-		return d.forward(other, geneve.Store, t)
+	if !d.m.records.Propose(d.now, d.p.Key, t) {
+		return d.unrecorded(t)
 	}
-	return d.deliver(t)
+	return d.forward(other, geneve.Store, t)
 }
 
 // unrecorded handles a flow for which there is no room: a new one opens on
@@ -336,7 +372,7 @@
 	if d.p.Relay.Hops >= maxHops {
 		return nil
 	}
-	return d.homes().Other()
+	return d.home(d.m.set.Num())
 }
 
 // unknown handles a flow without a record here that is not new: the second
@@ -367,28 +403,34 @@
 // decided goes on with an admitter's choice as a home. A record that was made
 // in the meantime goes before it.
 func (d *decision) decided() Verdict {
-	if r, ok := d.m.records.Get(d.p.Key); ok && !d.reopens(r.Target, r.Opened) {
+	d.note(d.p.Relay.Asker)
+	r, ok := d.m.records.Get(d.p.Key)
+	if !ok || d.reopens(r.Target, r.Opened) {
+		return d.choose(d.p.Relay.Target)
+	}
+	if r.Confirmed() {
 		return d.deliver(r.Target)
 	}
-	d.note(d.p.Relay.Asker)
-	return d.choose(d.p.Relay.Target)
+	return d.choose(r.Target)
 }
 
-// store handles a choice as the second home. A record here goes before the
-// first home's choice.
+// store handles a proposal as the second home. A record here goes before it:
+// the flow's first packet may have been delivered by it.
 func (d *decision) store() Verdict {
+	d.note(d.p.Relay.From)
 	d.note(d.p.Relay.Asker)
 	t := d.p.Relay.Target
-	if r, ok := d.m.records.Get(d.p.Key); ok && !d.reopens(r.Target, r.Opened) {
-		if r.Target != t {
-			d.note(d.p.Relay.From)
-		}
+	r, ok := d.m.records.Get(d.p.Key)
+	switch {
+	case ok && !d.reopens(r.Target, r.Opened):
 		t = r.Target
-	} else if t == 0 {
-		d.note(d.p.Relay.From)
+	case t == 0:
 		t = d.bucket.Base
 	}
-	d.m.records.Put(d.now, d.p.Key, t)
+	if !d.m.records.Put(d.now, d.p.Key, t) {
+		d.count = 0
+		return d.unrecorded(t)
+	}
 	return d.deliver(t)
 }
 
--- a/internal/coordination/daemon/handover.go
+++ b/internal/coordination/daemon/handover.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/homes"
 	"coltsfootdock/internal/coordination/member"
 	"coltsfootdock/internal/protocol/peer"
 	"coltsfootdock/internal/state/flow"
@@ -16,14 +17,9 @@
 // batches collects records by the daemon that they go to.
 type batches map[*member.Peer][]peer.FlowRecord
 
-// rehome queues all records for handover when the set of homes changed.
+// rehome queues all records for handover when a list of homes was learned or
+// took effect.
 func (m *Machine) rehome() {
-	m.homes = m.set.HomeNums(m.homes)
-	slices.Sort(m.homes)
-	if slices.Equal(m.homes, m.lastHomes) {
-		return
-	}
-	m.lastHomes = append(m.lastHomes[:0], m.homes...)
 	m.queue = m.queue[:0]
 	m.records.Each(func(k flow.Key, _ record.Record) {
 		m.queue = append(m.queue, k)
@@ -32,48 +28,57 @@
 
 // drainQueue hands queued records to the daemons that became their homes, a
 // bounded number a tick.
-func (m *Machine) drainQueue() {
+func (m *Machine) drainQueue(now clock.Milli) {
 	n := min(len(m.queue), handoverBatch)
 	if n == 0 {
 		return
 	}
 	out := make(batches)
 	for _, k := range m.queue[:n] {
-		m.handOver(out, k)
+		m.handOver(now, out, k)
 	}
 	m.queue = m.queue[n:]
-	m.sendBatches(out)
+	m.sendBatches(out, false)
 }
 
 // handOver adds the record of one flow for each of its homes that was none
 // before. The former homes hand over; any other daemon does only if both of
 // them are lost.
-func (m *Machine) handOver(out batches, k flow.Key) {
+func (m *Machine) handOver(now clock.Milli, out batches, k flow.Key) {
 	r, ok := m.records.Get(k)
-	if !ok {
+	if !ok || !r.Confirmed() {
 		return
 	}
 	hash := k.Hash()
-	former := m.set.Former(hash)
-	if !former.Has(m.set.Num()) && m.anyHome(former) {
+	old := m.homes.Old(hash)
+	if !old.Has(m.set.Num()) && m.anyNear(now, old) {
 		return
 	}
-	m.set.Homes(hash).Each(func(p *member.Peer) {
-		if !former.Has(p.Num) {
-			out[p] = append(out[p], peer.FlowRecord{Key: k.Append(nil), Target: r.Target})
+	m.addBatches(out, m.homes.New(hash), old, peer.FlowRecord{Key: k.Append(nil), Target: r.Target})
+}
+
+// addBatches adds a record for each other daemon of a pair that is not in the
+// pair before.
+func (m *Machine) addBatches(out batches, pair, before homes.Pair, r peer.FlowRecord) {
+	for _, n := range pair.Num[:pair.N] {
+		if p := m.set.ByNum(n); p != nil && !before.Has(n) {
+			out[p] = append(out[p], r)
 		}
-	})
+	}
 }
 
-// anyHome reports whether one of a pair may still be a home.
-func (m *Machine) anyHome(pair member.Pair) bool {
-	return slices.ContainsFunc(m.homes, pair.Has)
+// anyNear reports whether one of a pair is within reach.
+func (m *Machine) anyNear(now clock.Milli, pair homes.Pair) bool {
+	return slices.ContainsFunc(pair.Num[:pair.N], func(n peer.Num) bool {
+		p := m.set.ByNum(n)
+		return p != nil && p.Near(now)
+	})
 }
 
-func (m *Machine) sendBatches(out batches) {
+func (m *Machine) sendBatches(out batches, proposed bool) {
 	for _, p := range m.set.Peers() {
 		if len(out[p]) > 0 {
-			m.send(p, peer.Message{Records: &peer.Records{Records: out[p]}}, false)
+			m.send(p, peer.Message{Records: &peer.Records{Proposed: proposed, Records: out[p]}}, false)
 		}
 	}
 }
@@ -84,22 +89,26 @@
 }
 
 // takeRecords stores records that another daemon hands over. A record that
-// this daemon has already is kept.
-func (m *Machine) takeRecords(now clock.Milli, list []peer.FlowRecord) {
-	for _, r := range list {
+// this daemon has already is kept, unless it is only proposed.
+func (m *Machine) takeRecords(now clock.Milli, list *peer.Records) {
+	for _, r := range list.Records {
 		k, ok := flow.DecodeKey(r.Key)
 		if !ok {
 			continue
 		}
-		if _, known := m.records.Get(k); !known {
+		old, known := m.records.Get(k)
+		switch {
+		case !known && list.Proposed:
+			m.records.Propose(now, k, r.Target)
+		case !known || !old.Confirmed() && !list.Proposed:
 			m.records.Put(now, k, r.Target)
 		}
 	}
 }
 
-// pinRecent records the latest opens of buckets that started to move, here
-// and at their homes, so that a repetition of a first packet finds the same
-// target.
+// pinRecent tells the homes the latest opens of buckets that started to move,
+// so that a repetition of a first packet finds the same target. Here they are
+// only hints: a home that this daemon does not reach may know better.
 func (m *Machine) pinRecent(now clock.Milli) {
 	out := make(batches)
 	m.recent.Since(now-repeatWindow, func(o record.Open) {
@@ -115,10 +124,8 @@
 		if _, known := m.records.Get(o.Key); known {
 			return
 		}
-		m.records.Put(now, o.Key, o.Target)
-		m.set.Homes(hash).Each(func(p *member.Peer) {
-			out[p] = append(out[p], peer.FlowRecord{Key: o.Key.Append(nil), Target: o.Target})
-		})
+		m.records.Propose(now, o.Key, o.Target)
+		m.addBatches(out, m.homes.Pair(hash), homes.Pair{}, peer.FlowRecord{Key: o.Key.Append(nil), Target: o.Target})
 	})
-	m.sendBatches(out)
+	m.sendBatches(out, true)
 }
--- a/internal/coordination/daemon/machine.go
+++ b/internal/coordination/daemon/machine.go
@@ -29,6 +29,7 @@
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/admit"
 	"coltsfootdock/internal/coordination/health"
+	"coltsfootdock/internal/coordination/homes"
 	"coltsfootdock/internal/coordination/member"
 	"coltsfootdock/internal/protocol/object"
 	"coltsfootdock/internal/protocol/peer"
@@ -96,6 +97,7 @@
 // Machine is the state of one daemon. It is not safe for concurrent use.
 type Machine struct {
 	set     *member.Set
+	homes   *homes.Table
 	view    *view.View
 	health  *health.Table
 	records *record.Store
@@ -116,8 +118,6 @@
 	lastPull  clock.Milli
 	lastProbe clock.Milli
 	lastSweep clock.Milli
-	homes     []peer.Num
-	lastHomes []peer.Num
 	queue     []flow.Key
 	out       Output
 }
@@ -164,6 +164,7 @@
 		lastBeat: clock.Never,
 		lastPull: clock.Never,
 	}
+	m.homes = homes.New(m.set)
 	for _, o := range opts {
 		o(m)
 	}
@@ -218,13 +219,15 @@
 func (m *Machine) Tick(now clock.Milli) Output {
 	m.updateReady(now)
 	m.set.Tick(now, m.ready, m.retired(), m.reaches(now))
-	m.rehome()
+	if m.homes.Advance(now) {
+		m.rehome()
+	}
 	m.beat(now)
 	m.read(now)
 	m.probe(now)
 	m.sweep(now)
 	m.plan(now)
-	m.drainQueue()
+	m.drainQueue(now)
 	return m.flush()
 }
 
@@ -296,6 +299,9 @@
 	if l == nil {
 		return m.flush()
 	}
+	if !m.reaches(now) {
+		m.plans.homes.seen = now
+	}
 	m.readDone = now
 	m.merge(now, since, *l)
 	m.set.Confirm(began, l.Revision, m.view.Revision())
@@ -313,6 +319,7 @@
 		return
 	}
 	m.syncMembers(now)
+	m.takeHomes(now)
 	m.pinRecent(now)
 	m.lastBeat = clock.Never // tell the peers at the next tick
 }
@@ -360,7 +367,7 @@
 	case msg.Objects != nil:
 		m.merge(now, msg.Objects.Since, msg.Objects.List)
 	case msg.Records != nil:
-		m.takeRecords(now, msg.Records.Records)
+		m.takeRecords(now, msg.Records)
 	}
 	if len(msg.Reports) > 0 {
 		m.plans.report(now, msg.From, msg.Reports)
--- a/internal/coordination/daemon/planner.go
+++ b/internal/coordination/daemon/planner.go
@@ -31,6 +31,7 @@
 // bucket rest.
 type planner struct {
 	last    clock.Milli
+	homes   homesMemo
 	memo    map[schema.Service]*memo
 	reports map[string]map[schema.VMID]reported
 }
@@ -59,6 +60,7 @@
 	return &planner{
 		memo:    make(map[schema.Service]*memo),
 		reports: make(map[string]map[schema.VMID]reported),
+		homes:   homesMemo{busy: clock.Never},
 	}
 }
 
@@ -135,6 +137,10 @@
 	if !m.ready || m.retired() || !m.reaches(now) || !m.set.Fresh(now, m.view.Revision()) {
 		return
 	}
+	m.planHomes(now)
+	if !m.quorum(now) {
+		return // the other side of a cut plans
+	}
 	for s, e := range m.view.Entries() {
 		if e.Pool == nil || m.set.Rank(now, "planner "+s.Key(), true) > 0 {
 			delete(m.plans.memo, s)
@@ -234,11 +240,11 @@
 	}
 }
 
-// admitters lists the daemons that may admit opens.
+// admitters lists the daemons that may have duties, this one first.
 func (m *Machine) admitters(now clock.Milli) []schema.VMID {
 	list := []schema.VMID{m.set.Self().ID}
 	for _, p := range m.set.Peers() {
-		if p.Alive(now) && p.Ready && !p.Out {
+		if p.Fit(now) {
 			list = append(list, p.Member.ID)
 		}
 	}
--- a/internal/coordination/daemon/targets.go
+++ b/internal/coordination/daemon/targets.go
@@ -57,22 +57,42 @@
 	return before < health.Probers
 }
 
-// shareProbes takes a prober's states. That a target failed is believed only
-// of a prober in the target's data centre: others may be cut off from it.
+// shareProbes takes a prober's states. That a target failed is believed of a
+// prober in another data centre only while the target's own has no live
+// daemon: the prober may be cut off from it.
 func (m *Machine) shareProbes(now clock.Milli, p *member.Peer, list []peer.Probe) {
 	for _, probe := range list {
-		if probe.State == peer.Failed && !m.inDataCentre(probe.Target, p.Member.DataCentre) {
+		if probe.State == peer.Failed && m.betterProber(now, probe.Target, p) {
 			continue
 		}
 		m.health.Share(now, p.Member.ID, []peer.Probe{probe})
 	}
 }
 
-func (m *Machine) inDataCentre(h schema.Handle, dc schema.DataCentreID) bool {
+// betterProber reports whether a live daemon in a target's data centre knows
+// better than p, which is in another.
+func (m *Machine) betterProber(now clock.Milli, h schema.Handle, p *member.Peer) bool {
+	dc, ok := m.dataCentre(h)
+	if !ok || dc == p.Member.DataCentre {
+		return false
+	}
+	if m.set.Self().DataCentre == dc {
+		return true
+	}
+	for _, other := range m.set.Peers() {
+		if other.Member.DataCentre == dc && other.Alive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// dataCentre returns the data centre of a target.
+func (m *Machine) dataCentre(h schema.Handle) (schema.DataCentreID, bool) {
 	for _, e := range m.view.Entries() {
 		if d := e.Dests[h]; d != nil {
-			return d.Target.DataCentre == dc
+			return d.Target.DataCentre, true
 		}
 	}
-	return false
+	return "", false
 }
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -33,6 +33,8 @@
 	TargetOut
 	UnknownPeer
 	OldView
+	NoHome
+	NoQuorum
 	IsNote
 
 	// Reasons is the number of reasons.
@@ -41,7 +43,7 @@
 
 var reasonNames = [Reasons]string{
 	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
-	"target_out", "unknown_peer", "old_view", "note",
+	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "note",
 }
 
 // String returns the name used in metrics.
--- a/internal/coordination/daemon/world_test.go
+++ b/internal/coordination/daemon/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -45,6 +46,9 @@
 	why []string
 }
 
+// paths keeps the paths of flows, to explain a failure.
+var paths = flag.Bool("paths", false, "keep the paths of flows")
+
 type stats struct {
 	opened, broken, refused, wrongPool int
 	relayed, packets                   int
@@ -143,6 +147,7 @@
 		cutDC:  make(map[[2]schema.DataCentreID]bool),
 		flows:  make(map[flow.Key]*client),
 		opts:   opts,
+		debug:  *paths,
 		plat:   fakePlatform{objects: make(map[object.ID]object.Object)},
 	}
 	w.decide = func(n *node, now clock.Milli, p *geneve.Packet) Verdict { return n.m.Decide(now, p) }
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -72,21 +72,13 @@
 	selfSeed  uint64
 	boot      uint64
 	peers     map[schema.VMID]*Peer
+	nums      map[peer.Num]*Peer
 	confirmed clock.Milli
 	newest    schema.Version
 	ready     bool
 	out       bool
 	platform  bool
 	lastTick  clock.Milli
-	homes     []home
-	// former is the set of homes before its last change.
-	former []home
-}
-
-type home struct {
-	num  peer.Num
-	seed uint64
-	p    *Peer // nil for this daemon
 }
 
 // New returns a set that holds only this daemon. Boot must differ between
@@ -98,6 +90,7 @@
 		selfSeed:  flow.Seed(string(self.ID)),
 		boot:      boot,
 		peers:     make(map[schema.VMID]*Peer),
+		nums:      make(map[peer.Num]*Peer),
 		confirmed: clock.Never,
 	}
 }
@@ -119,13 +112,15 @@
 		if m.ID == s.self.ID || s.peers[m.ID] != nil {
 			continue
 		}
-		s.peers[m.ID] = &Peer{
+		p := &Peer{
 			Member: *m,
 			Num:    peer.NumOf(m.ID),
 			seed:   flow.Seed(string(m.ID)),
 			Heard:  clock.Never,
 			sent:   clock.Never,
 		}
+		s.peers[m.ID] = p
+		s.nums[p.Num] = p
 	}
 }
 
@@ -146,12 +141,7 @@
 
 // ByNum returns a known daemon by its number, or nil.
 func (s *Set) ByNum(n peer.Num) *Peer {
-	for _, p := range s.peers {
-		if p.Num == n {
-			return p
-		}
-	}
-	return nil
+	return s.nums[n]
 }
 
 // Confirm notes that a platform read which began at the given time showed
@@ -278,8 +268,8 @@
 	}
 }
 
-// Tick updates the set of homes. A gap since the last tick means that this
-// process did not run: its peers were not silent, it was deaf.
+// Tick advances time. A gap since the last tick means that this process did
+// not run: its peers were not silent, it was deaf.
 func (s *Set) Tick(now clock.Milli, ready, out, platform bool) {
 	if gap := now - s.lastTick; s.lastTick != 0 && gap > pause {
 		for _, p := range s.peers {
@@ -289,27 +279,6 @@
 		}
 	}
 	s.lastTick, s.ready, s.out, s.platform = now, ready, out, platform
-	last := slices.Clone(s.homes)
-	s.homes = s.homes[:0]
-	if s.Deaf(now) {
-		s.addHomes(func(p *Peer) bool { return now-p.Heard <= Gone })
-	} else {
-		if ready && !out {
-			s.homes = append(s.homes, home{num: s.selfNum, seed: s.selfSeed})
-		}
-		s.addHomes(func(p *Peer) bool { return p.Alive(now) })
-	}
-	if !slices.Equal(last, s.homes) {
-		s.former = last
-	}
-}
-
-func (s *Set) addHomes(include func(*Peer) bool) {
-	for _, p := range s.Peers() {
-		if p.Ready && !p.Out && !p.Blind && include(p) {
-			s.homes = append(s.homes, home{num: p.Num, seed: p.seed, p: p})
-		}
-	}
 }
 
 // Blind reports whether the view of revision mine is known to be old, or this
@@ -324,12 +293,11 @@
 }
 
 // Deaf reports whether all peers fell silent at once. That is more likely a
-// fault of this daemon's receiving side than of all the others, so for a
-// while it takes them for homes still, and not itself.
+// fault of this daemon's receiving side than of all the others.
 func (s *Set) Deaf(now clock.Milli) bool {
 	lately := false
 	for _, p := range s.peers {
-		if now-p.Heard <= Suspect {
+		if p.Near(now) {
 			return false
 		}
 		lately = lately || now-p.Heard <= Gone && p.Ready && !p.Out
@@ -344,6 +312,23 @@
 	return now-max(p.Heard, p.sent) <= Suspect
 }
 
+// Near reports whether the peer was heard lately by this daemon itself, so
+// that packets are likely to reach it.
+func (p *Peer) Near(now clock.Milli) bool {
+	return now-p.Heard <= Suspect
+}
+
+// Silent reports whether the peer was not heard of for so long that it counts
+// as gone.
+func (p *Peer) Silent(now clock.Milli) bool {
+	return now-max(p.Heard, p.sent) > Gone
+}
+
+// Fit reports whether the peer is alive and may have duties.
+func (p *Peer) Fit(now clock.Milli) bool {
+	return p.Alive(now) && p.Ready && !p.Out && !p.Blind
+}
+
 // Met reports whether every live peer answered this daemon, so that each of
 // them counts it in its lease.
 func (s *Set) Met(now clock.Milli) bool {
@@ -360,86 +345,11 @@
 	for id, p := range s.peers {
 		if !listed[id] && now-p.Heard > Gone {
 			delete(s.peers, id)
+			delete(s.nums, p.Num)
 		}
 	}
 }
 
-// Homes returns the two daemons that keep the records of a flow, best first.
-// A nil peer with ok set means this daemon.
-func (s *Set) Homes(hash uint64) Pair {
-	return pick(s.homes, hash)
-}
-
-// Former returns the homes of a flow before the set of homes last changed.
-func (s *Set) Former(hash uint64) Pair {
-	return pick(s.former, hash)
-}
-
-func pick(homes []home, hash uint64) Pair {
-	var pair Pair
-	var best, second uint64
-	for _, h := range homes {
-		score := flow.Score(hash, h.seed)
-		switch {
-		case pair.N == 0 || score > best:
-			pair.Home[1], second = pair.Home[0], best
-			pair.Home[0], best = h, score
-			pair.N = min(pair.N+1, 2)
-		case pair.N == 1 || score > second:
-			pair.Home[1], second = h, score
-			pair.N = 2
-		}
-	}
-	return pair
-}
-
-// Pair is the homes of a flow; N tells how many there are, 0 to 2.
-type Pair struct {
-	Home [2]home
-	N    int
-}
-
-// Has reports whether the daemon with the number is a home.
-func (p Pair) Has(n peer.Num) bool {
-	return p.N > 0 && p.Home[0].num == n || p.N > 1 && p.Home[1].num == n
-}
-
-// Other returns the first home that is neither of the given daemons, or nil.
-func (p Pair) Other(not ...peer.Num) *Peer {
-	for i := range p.N {
-		if h := p.Home[i]; h.p != nil && !slices.Contains(not, h.num) {
-			return h.p
-		}
-	}
-	return nil
-}
-
-// Each calls f for both homes that are other daemons.
-func (p Pair) Each(f func(*Peer)) {
-	for i := range p.N {
-		if p.Home[i].p != nil {
-			f(p.Home[i].p)
-		}
-	}
-}
-
-// First returns the first home; self is set if it is this daemon.
-func (p Pair) First() (other *Peer, self bool) {
-	if p.N == 0 {
-		return nil, false
-	}
-	return p.Home[0].p, p.Home[0].p == nil
-}
-
-// HomeNums returns the numbers of all homes, for change detection.
-func (s *Set) HomeNums(buf []peer.Num) []peer.Num {
-	buf = buf[:0]
-	for _, h := range s.homes {
-		buf = append(buf, h.num)
-	}
-	return buf
-}
-
 // Rank returns how many live daemons precede this one in the rendezvous
 // order for a name, of those that reach the platform if platform is set.
 // Duties that few daemons perform go to the lowest ranks.
@@ -451,7 +361,7 @@
 		if platform && !p.Platform {
 			continue
 		}
-		if p.Alive(now) && p.Ready && !p.Out && flow.Score(hash, p.seed) > own {
+		if p.Fit(now) && flow.Score(hash, p.seed) > own {
 			n++
 		}
 	}
--- a/internal/protocol/object/object.go
+++ b/internal/protocol/object/object.go
@@ -24,6 +24,7 @@
 	DataCentre Kind = "datacentre"
 	Member     Kind = "member"
 	Placement  Kind = "placement"
+	Homes      Kind = "homes"
 )
 
 // Object is one stored object. A deleted object stays as a tombstone.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -100,8 +100,10 @@
 
 // Records hands records to a home.
 type Records struct {
-	_       struct{} `cbor:",toarray"`
-	Records []FlowRecord
+	_ struct{} `cbor:",toarray"`
+	// Proposed is set if the records are not confirmed by a home.
+	Proposed bool
+	Records  []FlowRecord
 }
 
 // Report lists the moving buckets of a service with flows elsewhere than on
--- a/internal/state/record/record.go
+++ b/internal/state/record/record.go
@@ -20,10 +20,16 @@
 	Opened clock.Milli
 	// Seen is when a packet of the flow last passed here.
 	Seen clock.Milli
-	// Fresh is when a home of the flow last confirmed the record.
+	// Fresh is when the flow's homes last agreed on the record; clock.Never if
+	// it is only proposed.
 	Fresh clock.Milli
 }
 
+// Confirmed reports whether the flow's homes agreed on the record.
+func (r Record) Confirmed() bool {
+	return r.Fresh != clock.Never
+}
+
 // Store is a bounded map of records. It is not safe for concurrent use.
 type Store struct {
 	limit   int
@@ -64,6 +70,21 @@
 	return true
 }
 
+// Propose stores a record that is not confirmed and reports whether there was
+// room. It replaces no confirmed record of the same target.
+func (s *Store) Propose(now clock.Milli, k flow.Key, t schema.Handle) bool {
+	if r, ok := s.records[k]; ok && r.Target == t {
+		return true
+	}
+	if !s.Put(now, k, t) {
+		return false
+	}
+	r := s.records[k]
+	r.Fresh = clock.Never
+	s.records[k] = r
+	return true
+}
+
 // Touch notes that a packet of the flow passed.
 func (s *Store) Touch(now clock.Milli, k flow.Key, r Record) {
 	if now-r.Seen < clock.Second {
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -9,6 +9,9 @@
 	"coltsfootdock/pkg/schema"
 )
 
+// HomesName is the name of the object that lists the homes.
+const HomesName = "all"
+
 // Dest is a target that a service may deliver to.
 type Dest struct {
 	Target schema.Target
@@ -169,6 +172,20 @@
 	return out, versions
 }
 
+// Homes returns the agreed list of homes and its version, zero if there is
+// none yet.
+func (v *View) Homes() ([]schema.VMID, schema.Version) {
+	o, ok := v.store.Get(object.ID{Kind: object.Homes, Name: HomesName})
+	if !ok {
+		return nil, 0
+	}
+	h, err := schema.Decode[schema.Homes](o.Data)
+	if err != nil {
+		return nil, 0
+	}
+	return h.Members, o.Version
+}
+
 // Marked returns the version of the last mark of a data centre.
 func (v *View) Marked(id schema.DataCentreID) schema.Version {
 	return v.markedDC[string(id)]
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -267,6 +267,21 @@
 	return CheckName("member DataCentre", string(m.DataCentre))
 }
 
+// Homes is the agreed list of daemons that keep flow records.
+type Homes struct {
+	Members []VMID
+}
+
+// Check returns an error that names the first wrong member.
+func (h *Homes) Check() error {
+	for _, id := range h.Members {
+		if err := CheckName("home", string(id)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Checker is a domain type that validates itself.
 type Checker[T any] interface {
 	*T
