--- a/internal/coordination/daemon/world_test.go
+++ b/internal/coordination/daemon/world_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"strings"
 
 	"coltsfootdock/internal/clock"
@@ -173,7 +172,7 @@
 	w.nodes = append(w.nodes, n)
 	w.byData[n.member.Data] = n
 	w.store(object.Member, name, n.member)
-	w.at(clock.Milli(w.rng.IntN(50)), n.tick)
+	w.at(clock.Milli(w.rng.IntN(700)), n.tick) // the daemons are out of phase
 	return n
 }
 
@@ -563,20 +562,18 @@
 	}
 }
 
-// imbalance returns the largest number of flows of a pool's targets over the
-// mean.
+// imbalance returns the largest number of flows of a pool's open targets over
+// their mean.
 func (w *world) imbalance(p *schema.Pool) float64 {
-	var counts []int
-	sum := 0
+	most, sum, n := 0, 0, 0
 	for _, t := range p.Targets {
-		n := len(w.hosts[t.Address].flows)
-		counts = append(counts, n)
-		sum += n
-	}
-	if sum == 0 {
-		return 0
+		if t.Drain {
+			continue
+		}
+		flows := len(w.hosts[t.Address].flows)
+		most, sum, n = max(most, flows), sum+flows, n+1
 	}
-	return float64(slices.Max(counts)*len(counts)) / float64(sum)
+	return float64(most*n) / float64(sum)
 }
 
 // trace notes why a flow broke.
