internal/coordination: control traffic independent of the number of daemons

Ruled out: dropping the list of heard daemons (the lease needs it while the platform is down). Change: above 8 peers a heartbeat goes to 5 of them in turn and tells of 12 others; probe results are shared when they change and every 3 s; in such sets a daemon counts as dead after 4.5 s. No bucket moves before there is a list of homes.

--- a/internal/coordination/daemon/config_test.go
+++ b/internal/coordination/daemon/config_test.go
@@ -65,7 +65,7 @@
 			w.run(5 * clock.Second)
 			n := len(h.opens)
 			w.run(15 * clock.Second)
-			require.Len(t, h.opens, n)
+			require.Empty(t, h.opens[n:])
 			require.Zero(t, w.stats.broken, w.why)
 		})
 	}
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -241,7 +241,10 @@
 func (d *decision) asHome(hint schema.Handle) Verdict {
 	r, ok := d.m.records.Get(d.p.Key)
 	if ok && !r.Confirmed() {
-		hint, ok = r.Target, false
+		ok = false
+		if !d.reopens(r.Target, r.Opened) {
+			hint = r.Target
+		}
 	}
 	if ok && !d.reopens(r.Target, r.Opened) {
 		return d.known(r.Target, d.now-r.Fresh > d.m.refresh)
--- a/internal/coordination/daemon/machine.go
+++ b/internal/coordination/daemon/machine.go
@@ -45,7 +45,7 @@
 	defaultIdle    = 15 * clock.Minute
 	recentOpens    = 8192
 	// repeatWindow is how long a first packet may be repeated.
-	repeatWindow = 5 * clock.Second
+	repeatWindow = 3 * clock.Second
 	// readEvery is the time between a reader's platform reads.
 	readEvery = 500 * clock.Milli(1)
 	// readAlone is the age of the confirmation after which a daemon that is
@@ -110,6 +110,7 @@
 	started clock.Milli
 	ready   bool
 	leaving bool
+	listed  bool // this daemon is a home
 
 	readBusy  clock.Milli
 	readDone  clock.Milli
@@ -222,6 +223,12 @@
 	if m.homes.Advance(now) {
 		m.rehome()
 	}
+	if listed := m.homes.Listed(); listed != m.listed {
+		m.listed = listed
+		if !listed {
+			m.records.Doubt()
+		}
+	}
 	m.beat(now)
 	m.read(now)
 	m.probe(now)
@@ -256,8 +263,8 @@
 		return
 	}
 	m.lastBeat = now
-	probes := m.health.Own()
-	for _, p := range m.set.Peers() {
+	probes := m.health.News(now)
+	for _, p := range m.set.Audience() {
 		m.beatTo(now, p, probes)
 	}
 }
@@ -311,6 +318,7 @@
 // merge takes newer objects into the view and tells peers about it.
 func (m *Machine) merge(now clock.Milli, since schema.Version, l object.List) {
 	before := m.view.Revision()
+	late := m.set.Lapsed(now)
 	changed := m.view.Merge(now, since, l)
 	if m.view.Revision() > before {
 		m.set.Adopt(m.view.Revision())
@@ -319,7 +327,7 @@
 		return
 	}
 	m.syncMembers(now)
-	m.takeHomes(now)
+	m.takeHomes(now, late)
 	m.pinRecent(now)
 	m.lastBeat = clock.Never // tell the peers at the next tick
 }
@@ -336,7 +344,9 @@
 
 // ProbeDone takes the result of a Probe.
 func (m *Machine) ProbeDone(now clock.Milli, r health.Result) {
-	m.health.Probe(now, r)
+	if m.health.Probe(now, r) {
+		m.lastBeat = clock.Never // tell the peers at the next tick
+	}
 }
 
 // cold reports whether a target restarted since the placement was made: it
--- a/internal/coordination/daemon/planhomes.go
+++ b/internal/coordination/daemon/planhomes.go
@@ -15,6 +15,9 @@
 	// homesSettle is how long the live daemons must differ from the list of
 	// homes before it is rewritten.
 	homesSettle = 500 * clock.Milli(1)
+	// homesFirst is how long the live daemons must stay the same before the
+	// first list is written.
+	homesFirst = 1 * clock.Second
 	// homesSpacing is the least time between two changes of the list. Each
 	// changes one daemon, so that a flow keeps one of its homes, and is over
 	// the grace period before the next one is.
@@ -29,9 +32,12 @@
 // homesMemo is what the planner of the list of homes remembers.
 type homesMemo struct {
 	// since is when the live daemons began to differ from the list.
-	since   clock.Milli
-	written schema.Version
-	busy    clock.Milli
+	since clock.Milli
+	// fit is the live daemons, unchanged since fitSince.
+	fit      []schema.VMID
+	fitSince clock.Milli
+	written  schema.Version
+	busy     clock.Milli
 	// changed is when the list last changed.
 	changed clock.Milli
 	// seen is when the list last changed or was renewed, not counting the
@@ -55,6 +61,12 @@
 	if slices.Equal(fit, list) {
 		memo.since = now
 	}
+	if !slices.Equal(fit, memo.fit) {
+		memo.fit, memo.fitSince = fit, now
+	}
+	if version == 0 && now-memo.fitSince < homesFirst {
+		return
+	}
 	due := now-memo.since >= homesSettle || now-memo.seen >= homesRenew
 	if !due || m.set.Rank(now, "planner homes", true) > 0 || !m.quorum(now) {
 		return
@@ -97,14 +109,21 @@
 	return list
 }
 
-// takeHomes takes the list of homes of a new view.
-func (m *Machine) takeHomes(now clock.Milli) {
+// takeHomes takes the list of homes of a new view. It takes effect after the
+// grace period, but at once if this daemon's lease had lapsed: then the others
+// may have the list in effect already. As a list changes one daemon at a time
+// and slower than the grace period, two daemons' lists differ by one at most.
+func (m *Machine) takeHomes(now clock.Milli, late bool) {
 	list, version := m.view.Homes()
 	if version == m.homes.Version() {
 		return
 	}
 	m.plans.homes.seen = now
-	if m.homes.Push(now+member.Lease, version, list) {
+	at := now + member.Lease
+	if late {
+		at = now
+	}
+	if m.homes.Push(at, version, list) {
 		m.plans.homes.changed = now
 		m.rehome()
 	}
--- a/internal/coordination/daemon/planner.go
+++ b/internal/coordination/daemon/planner.go
@@ -138,8 +138,8 @@
 		return
 	}
 	m.planHomes(now)
-	if !m.quorum(now) {
-		return // the other side of a cut plans
+	if !m.quorum(now) || m.homes.Version() == 0 {
+		return // the other side of a cut plans, or flows have no homes yet
 	}
 	for s, e := range m.view.Entries() {
 		if e.Pool == nil || m.set.Rank(now, "planner "+s.Key(), true) > 0 {
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -22,6 +22,10 @@
 	failAfter = 3
 	// shedAfter is the number of shedding answers in a row that close it.
 	shedAfter = 3
+	// shareEvery is how often an unchanged state is shared.
+	shareEvery = 3 * clock.Second
+	// newsRepeat is how many heartbeats carry a changed state.
+	newsRepeat = 3
 	// staleAfter is the age after which a shared state is ignored.
 	staleAfter = 8 * clock.Second
 )
@@ -48,6 +52,10 @@
 	probe peer.Probe
 	fails int
 	sheds int
+	// news counts the heartbeats that still carry the last change.
+	news int
+	// told is when the state was last shared.
+	told clock.Milli
 }
 
 type shared struct {
@@ -72,17 +80,24 @@
 	}
 }
 
-// Probe takes a result of this daemon's own probe.
-func (t *Table) Probe(now clock.Milli, r Result) {
+// Probe takes a result of this daemon's own probe and reports whether the
+// target's state changed.
+func (t *Table) Probe(now clock.Milli, r Result) bool {
 	o := t.own[r.Target]
 	if o == nil {
 		o = &own{probe: peer.Probe{Target: r.Target}}
 		t.own[r.Target] = o
 	}
+	before := o.probe
 	o.take(r)
 	if o.probe.State != 0 {
 		t.Share(now, t.self, []peer.Probe{o.probe})
 	}
+	changed := o.probe.State != before.State || o.probe.Incarnation != before.Incarnation
+	if changed {
+		o.news = newsRepeat
+	}
+	return changed
 }
 
 func (o *own) take(r Result) {
@@ -109,13 +124,17 @@
 	}
 }
 
-// Own returns this daemon's probe states of the targets it still probes.
-func (t *Table) Own() []peer.Probe {
-	list := make([]peer.Probe, 0, len(t.own))
+// News returns the own states that the next heartbeats carry: those that
+// changed, a few times, and each of the others once every shareEvery.
+func (t *Table) News(now clock.Milli) []peer.Probe {
+	var list []peer.Probe
 	for _, o := range t.own {
-		if o.probe.State != 0 {
-			list = append(list, o.probe)
+		if o.probe.State == 0 || o.news == 0 && now-o.told < shareEvery {
+			continue
 		}
+		o.news = max(0, o.news-1)
+		o.told = now
+		list = append(list, o.probe)
 	}
 	return list
 }
--- a/internal/coordination/homes/homes.go
+++ b/internal/coordination/homes/homes.go
@@ -96,6 +96,11 @@
 	return pick(t.effective(), hash)
 }
 
+// Listed reports whether this daemon is on the list in effect.
+func (t *Table) Listed() bool {
+	return slices.ContainsFunc(t.effective(), func(c candidate) bool { return c.num == t.set.Num() })
+}
+
 // Old returns the homes that hand a flow's record over, and New those that it
 // goes to.
 func (t *Table) Old(hash uint64) Pair {
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -30,10 +30,19 @@
 	Lease = 1500 * clock.Milli(1)
 	// Interval is the time between heartbeats.
 	Interval = 500 * clock.Milli(1)
-	// Suspect is the silence after which a daemon is no longer a home.
+	// Suspect is the silence after which a daemon counts as dead.
 	Suspect = 1600 * clock.Milli(1)
+	// suspectLarge is the same in a set too large for a full mesh, where word
+	// of a daemon comes by way of others.
+	suspectLarge = 4500 * clock.Milli(1)
 	// Gone is the silence after which a daemon no longer blocks the lease.
 	Gone = 10 * clock.Second
+	// fullMesh is the largest number of peers that all get every heartbeat.
+	fullMesh = 8
+	// fanOut is the number of peers that get a heartbeat in a larger set.
+	fanOut = 5
+	// heardSample is the number of daemons that a heartbeat tells about.
+	heardSample = 12
 	// memberEvery is how many heartbeats share one copy of the registration.
 	memberEvery = 8
 	// pause is a gap between ticks that shows that this process was stopped.
@@ -44,6 +53,7 @@
 type Peer struct {
 	Member schema.Member
 	Num    peer.Num
+	set    *Set
 	seed   uint64
 	boot   uint64
 	// Heard is when the newest heartbeat arrived here.
@@ -79,6 +89,7 @@
 	out       bool
 	platform  bool
 	lastTick  clock.Milli
+	round     uint64
 }
 
 // New returns a set that holds only this daemon. Boot must differ between
@@ -114,6 +125,7 @@
 		}
 		p := &Peer{
 			Member: *m,
+			set:    s,
 			Num:    peer.NumOf(m.ID),
 			seed:   flow.Seed(string(m.ID)),
 			Heard:  clock.Never,
@@ -170,12 +182,14 @@
 	s.confirmed = clock.Never
 }
 
+// Lapsed reports whether there is no evidence of the lease's age for any view.
+func (s *Set) Lapsed(now clock.Milli) bool {
+	return now-s.confirmed > Lease && !s.heardAll(now)
+}
+
 // Fresh reports whether the view of revision mine may be trusted now.
 func (s *Set) Fresh(now clock.Milli, mine schema.Version) bool {
-	if s.newest > mine {
-		return false
-	}
-	return now-s.confirmed <= Lease || s.heardAll(now)
+	return s.newest <= mine && !s.Lapsed(now)
 }
 
 // heardAll reports whether every daemon that is not gone was heard of within
@@ -220,14 +234,48 @@
 	if now-s.confirmed <= Lease {
 		h.Age = now - s.confirmed
 	}
-	for _, p := range s.peers {
-		if p != to && now-p.sent <= Lease {
+	for _, p := range s.sample(heardSample) {
+		if p != to && now-p.sent <= s.suspect() {
 			h.Heard = append(h.Heard, peer.Heard{Num: p.Num, Age: now - p.sent})
 		}
 	}
 	return h
 }
 
+// suspect returns the silence after which a daemon counts as dead.
+func (s *Set) suspect() clock.Milli {
+	if len(s.peers) <= fullMesh {
+		return Suspect
+	}
+	return suspectLarge
+}
+
+// Audience returns the peers that the next round of heartbeats goes to: all
+// of a small set, else a few that change from round to round, so that a
+// daemon's traffic does not grow with the set.
+func (s *Set) Audience() []*Peer {
+	s.round++
+	if len(s.peers) <= fullMesh {
+		return s.Peers()
+	}
+	return s.sample(fanOut)
+}
+
+// sample returns up to n peers, others in each round.
+func (s *Set) sample(n int) []*Peer {
+	list := s.Peers()
+	if len(list) <= n {
+		return list
+	}
+	picked := make([]*Peer, 0, n)
+	start := flow.Score(s.round, s.selfSeed) % uint64(len(list))
+	stride := len(list) / n
+	for i := range n {
+		picked = append(picked, list[(int(start)+i*stride)%len(list)])
+	}
+	return picked
+}
+
 // Take handles a heartbeat. It reports whether the sender knows a newer view.
 func (s *Set) Take(now clock.Milli, from schema.VMID, h *peer.Heartbeat, mine schema.Version) bool {
 	if h.Member != nil {
@@ -309,13 +357,13 @@
 // What others heard counts, so that daemons with lossy or cut links between
 // them still agree on the homes.
 func (p *Peer) Alive(now clock.Milli) bool {
-	return now-max(p.Heard, p.sent) <= Suspect
+	return now-max(p.Heard, p.sent) <= p.set.suspect()
 }
 
 // Near reports whether the peer was heard lately by this daemon itself, so
 // that packets are likely to reach it.
 func (p *Peer) Near(now clock.Milli) bool {
-	return now-p.Heard <= Suspect
+	return now-p.Heard <= p.set.suspect()
 }
 
 // Silent reports whether the peer was not heard of for so long that it counts
--- a/internal/state/record/record.go
+++ b/internal/state/record/record.go
@@ -85,6 +85,15 @@
 	return true
 }
 
+// Doubt makes all records proposals, as when this daemon is no longer told of
+// changes to them.
+func (s *Store) Doubt() {
+	for k, r := range s.records {
+		r.Fresh = clock.Never
+		s.records[k] = r
+	}
+}
+
 // Touch notes that a packet of the flow passed.
 func (s *Store) Touch(now clock.Milli, k flow.Key, r Record) {
 	if now-r.Seen < clock.Second {
