internal/coordination: the model repeats, former homes doubt their records

Change: entries and targets have a fixed order, and TestModelRepeats compares three runs; when a list of homes takes effect, a daemon makes proposals of the records that it is no home of any more. Conclusion: the verdict is the same on each run now.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -198,3 +198,22 @@
 		})
 	}
 }
+
+// TestModelRepeats runs one case twice: the same seed must give the same run,
+// or no verdict of this package could be repeated.
+func TestModelRepeats(t *testing.T) {
+	var first stats
+	for i := range 3 {
+		w, p := today(3, 400, 100, 20*clock.Second)
+		w.loss = 0.05
+		w.partition("dc-c", true)
+		drain(w, p)
+		w.run(8 * clock.Second)
+		w.partition("dc-c", false)
+		w.run(10 * clock.Second)
+		if i == 0 {
+			first = w.stats
+		}
+		require.Equal(t, first, w.stats)
+	}
+}
--- a/internal/coordination/daemon/config_test.go
+++ b/internal/coordination/daemon/config_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// TestDeadRegistrationIsRemoved kills a daemon: its registration goes after a
+// while, and a frozen daemon's does not.
+func TestDeadRegistrationIsRemoved(t *testing.T) {
+	w := newWorld(1, 7)
+	w.pool(desk, deskVNI, 14)
+	w.run(10 * clock.Second)
+	w.nodes[2].kill()
+	w.nodes[3].freeze(20 * clock.Second)
+	w.run(forgetAfter + 10*clock.Second)
+	for _, n := range w.nodes {
+		_, ok := n.m.view.Store().Get(object.ID{Kind: object.Member, Name: "vm-3"})
+		require.Equal(t, n.dead, ok, n.member.ID)
+		_, ok = n.m.view.Store().Get(object.ID{Kind: object.Member, Name: "vm-4"})
+		require.True(t, ok, n.member.ID)
+	}
+}
+
 // TestRename renames a route and its pool in two edits. The flows go on once
 // both are stored.
 func TestRename(t *testing.T) {
--- a/internal/coordination/daemon/handover.go
+++ b/internal/coordination/daemon/handover.go
@@ -17,12 +17,14 @@
 // batches collects records by the daemon that they go to.
 type batches map[*member.Peer][]peer.FlowRecord
 
-// rehome queues all records for handover when a list of homes was learned or
-// took effect.
+// rehome queues all agreed records for handover when a list of homes was
+// learned or took effect.
 func (m *Machine) rehome() {
 	m.queue = m.queue[:0]
-	m.records.Each(func(k flow.Key, _ record.Record) {
-		m.queue = append(m.queue, k)
+	m.records.Each(func(k flow.Key, r record.Record) {
+		if r.Confirmed() {
+			m.queue = append(m.queue, k)
+		}
 	})
 }
 
@@ -46,7 +48,7 @@
 // them are lost.
 func (m *Machine) handOver(now clock.Milli, out batches, k flow.Key) {
 	r, ok := m.records.Get(k)
-	if !ok || !r.Confirmed() {
+	if !ok {
 		return
 	}
 	hash := k.Hash()
@@ -67,6 +69,11 @@
 	}
 }
 
+// isHome reports whether this daemon is a home of a flow.
+func (m *Machine) isHome(k flow.Key) bool {
+	return m.homes.Pair(k.Hash()).Has(m.set.Num())
+}
+
 // anyNear reports whether one of a pair is within reach.
 func (m *Machine) anyNear(now clock.Milli, pair homes.Pair) bool {
 	return slices.ContainsFunc(pair.Num[:pair.N], func(n peer.Num) bool {
@@ -99,7 +106,7 @@
 			continue
 		}
 		old, known := m.records.Get(k)
-		home := m.homes.Pair(k.Hash()).Has(m.set.Num())
+		home := m.isHome(k)
 		switch {
 		case known && old.Confirmed():
 		case home && !list.Proposed:
--- a/internal/coordination/daemon/planhomes.go
+++ b/internal/coordination/daemon/planhomes.go
@@ -11,6 +11,9 @@
 	"coltsfootdock/pkg/schema"
 )
 
+// homesPlanner is the name that the planner of the list is chosen by.
+const homesPlanner = "planner homes"
+
 const (
 	// homesSettle is how long the live daemons must differ from the list of
 	// homes before it is rewritten.
@@ -67,7 +70,7 @@
 		return
 	}
 	due := now-memo.since >= homesSettle || now-memo.seen >= homesRenew
-	if !due || m.set.Rank(now, "planner homes", true) > 0 || !m.quorum(now) {
+	if !due || m.set.Rank(now, homesPlanner, true) > 0 || !m.quorum(now) {
 		return
 	}
 	if now-memo.busy < writeTimeout && memo.written == version {
--- a/internal/coordination/daemon/planner.go
+++ b/internal/coordination/daemon/planner.go
@@ -32,6 +32,7 @@
 type planner struct {
 	last    clock.Milli
 	homes   homesMemo
+	forgot  clock.Milli
 	memo    map[schema.Service]*memo
 	reports map[string]map[schema.VMID]reported
 }
@@ -66,31 +67,36 @@
 
 // report takes a daemon's list of buckets that hold flows elsewhere than on
 // their current target.
-func (pl *planner) report(now clock.Milli, from schema.VMID, list []peer.Report) {
+func (pl *planner) report(now clock.Milli, from schema.VMID, list []*peer.Report) {
 	for _, r := range list {
+		if r == nil {
+			continue
+		}
 		byVM := pl.reports[r.Service]
 		if byVM == nil {
 			byVM = make(map[schema.VMID]reported)
 			pl.reports[r.Service] = byVM
 		}
-		byVM[from] = reported{at: now, report: r}
+		byVM[from] = reported{at: now, report: *r}
 	}
 }
 
 // reports lists, for each service with moving buckets, the buckets of which
 // this daemon has records that differ from the newest placement.
-func (m *Machine) reports(now clock.Milli) []peer.Report {
+func (m *Machine) reports(now clock.Milli) []*peer.Report {
 	sets := make(map[schema.Service]*peer.Report)
-	for s, e := range m.view.Entries() {
+	var list []*peer.Report
+	for _, e := range m.view.Entries() {
 		p, version := e.Table.Newest()
 		if p == nil || !anyMoving(p) {
 			continue
 		}
-		r := &peer.Report{Service: s.Key(), Placement: version, Foreign: make([]byte, schema.Buckets/8)}
+		r := &peer.Report{Service: e.Service.Key(), Placement: version, Foreign: make([]byte, schema.Buckets/8)}
 		if m.records.Full(now) || !e.Table.Settled(now) {
 			fill(r.Foreign)
 		}
-		sets[s] = r
+		sets[e.Service] = r
+		list = append(list, r)
 	}
 	if len(sets) == 0 {
 		return nil
@@ -106,10 +112,6 @@
 			r.Foreign[b/8] |= 1 << (b % 8)
 		}
 	})
-	var list []peer.Report
-	for _, r := range sets {
-		list = append(list, *r)
-	}
 	return list
 }
 
@@ -138,15 +140,16 @@
 		return
 	}
 	m.planHomes(now)
+	m.forgetMembers(now)
 	if !m.quorum(now) || m.homes.Version() == 0 {
 		return // the other side of a cut plans, or flows have no homes yet
 	}
-	for s, e := range m.view.Entries() {
-		if e.Pool == nil || m.set.Rank(now, plannerOf(s), true) > 0 {
-			delete(m.plans.memo, s)
+	for _, e := range m.view.Entries() {
+		if e.Pool == nil || m.set.Rank(now, plannerOf(e.Service), true) > 0 {
+			delete(m.plans.memo, e.Service)
 			continue
 		}
-		m.planService(now, s, e)
+		m.planService(now, e.Service, e)
 	}
 }
 
@@ -188,7 +191,7 @@
 }
 
 func (m *Machine) allKnown(now clock.Milli, e *view.Entry) bool {
-	for _, d := range e.Dests {
+	for _, d := range e.Targets {
 		if !m.health.State(now, d.Handle).Known {
 			return false
 		}
@@ -224,7 +227,7 @@
 
 func (m *Machine) planInput(now clock.Milli, e *view.Entry, mem *memo, version schema.Version) plan.Input {
 	return plan.Input{
-		Service:  e.Route.Service(),
+		Service:  e.Service,
 		Pool:     e.Pool,
 		Revision: m.view.Revision(),
 		Marked:   m.view.Marked,
@@ -241,7 +244,7 @@
 		RampDue: func(h schema.Handle) bool {
 			return now-mem.rates[h].since >= rampStep
 		},
-		Settled: m.settled(now, e.Route.Service(), mem, version),
+		Settled: m.settled(now, e.Service, mem, version),
 	}
 }
 
--- a/internal/coordination/daemon/status.go
+++ b/internal/coordination/daemon/status.go
@@ -1,9 +1,6 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
-
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/protocol/peer"
 	"coltsfootdock/internal/state/flow"
@@ -63,7 +60,6 @@
 	for _, e := range m.view.Entries() {
 		s.Services = append(s.Services, m.serviceStatus(now, e))
 	}
-	slices.SortFunc(s.Services, func(a, b schema.ServiceStatus) int { return cmp.Compare(a.Route, b.Route) })
 	return s
 }
 
@@ -79,7 +75,7 @@
 	p, version := e.Table.Newest()
 	s := schema.ServiceStatus{
 		Route:     e.Route.Name,
-		Service:   e.Route.Service().Key(),
+		Service:   e.Service.Key(),
 		Pool:      e.Pool != nil,
 		Placement: version,
 	}
--- a/internal/coordination/daemon/targets.go
+++ b/internal/coordination/daemon/targets.go
@@ -20,7 +20,7 @@
 	mine := make(map[schema.Handle]bool)
 	self, peers := m.set.Probers(now)
 	for _, e := range m.view.Entries() {
-		for _, d := range e.Dests {
+		for _, d := range e.Targets {
 			if mine[d.Handle] || d.Out || !probes(self, peers, d) {
 				continue
 			}
--- a/internal/coordination/homes/homes.go
+++ b/internal/coordination/homes/homes.go
@@ -104,11 +104,6 @@
 	return len(t.layers) > 1 || t.former != nil && now-t.changed <= member.Lease
 }
 
-// Listed reports whether this daemon is on the list in effect.
-func (t *Table) Listed() bool {
-	return slices.ContainsFunc(t.effective(), func(c candidate) bool { return c.num == t.set.Num() })
-}
-
 // Old returns the homes that hand a flow's record over, and New those that it
 // goes to.
 func (t *Table) Old(hash uint64) Pair {
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -56,6 +56,7 @@
 	set    *Set
 	seed   uint64
 	boot   uint64
+	known  clock.Milli // when this daemon learned of the peer
 	// Heard is when the newest heartbeat arrived here.
 	Heard clock.Milli
 	// sent is the latest time at which that heartbeat is known to have been
@@ -126,6 +127,7 @@
 		p := &Peer{
 			Member: *m,
 			set:    s,
+			known:  now,
 			Num:    peer.NumOf(m.ID),
 			seed:   flow.Seed(string(m.ID)),
 			Heard:  clock.Never,
@@ -172,179 +174,6 @@
 	return s.nums[n]
 }
 
-// Confirm notes that a platform read which began at the given time showed
-// rev as the newest revision.
-func (s *Set) Confirm(began clock.Milli, rev, mine schema.Version) {
-	s.newest = max(s.newest, rev)
-	if rev == mine {
-		s.confirmed = max(s.confirmed, began)
-	}
-}
-
-// Behind reports whether a newer revision than mine is known to exist.
-func (s *Set) Behind(mine schema.Version) bool {
-	return s.newest > mine
-}
-
-// ConfirmAge returns the age of the platform's confirmation of the view.
-func (s *Set) ConfirmAge(now clock.Milli) clock.Milli {
-	return now - s.confirmed
-}
-
-// Adopt notes that the view was replaced by a newer one: earlier
-// confirmations do not cover it.
-func (s *Set) Adopt(rev schema.Version) {
-	s.newest = max(s.newest, rev)
-	s.confirmed = clock.Never
-}
-
-// Lapsed reports whether there is no evidence of the lease's age for any view.
-func (s *Set) Lapsed(now clock.Milli) bool {
-	return now-s.confirmed > Lease && !s.heardAll(now)
-}
-
-// Acked returns the revision that every registered daemon is known to have
-// reached, at most mine. It is zero while one of them is not heard: that one
-// may act on any older view until its lease lapses.
-func (s *Set) Acked(now clock.Milli, mine schema.Version) schema.Version {
-	for _, p := range s.peers {
-		if now-p.Heard > Gone || p.boot == 0 {
-			return 0
-		}
-		mine = min(mine, p.Revision)
-	}
-	return mine
-}
-
-// Fresh reports whether the view of revision mine may be trusted now.
-func (s *Set) Fresh(now clock.Milli, mine schema.Version) bool {
-	return s.newest <= mine && !s.Lapsed(now)
-}
-
-// heardAll reports whether every daemon that is not gone was heard of within
-// the lease, and there is at least one.
-func (s *Set) heardAll(now clock.Milli) bool {
-	n := 0
-	for _, p := range s.peers {
-		if now-p.Heard > Gone && now-p.sent > Gone {
-			continue
-		}
-		if now-p.sent > Lease {
-			return false
-		}
-		n++
-	}
-	return n > 0
-}
-
-// Beat returns the heartbeat for one peer.
-func (s *Set) Beat(now clock.Milli, to *Peer, rev schema.Version) peer.Heartbeat {
-	h := peer.Heartbeat{
-		Boot:     s.boot,
-		Time:     now,
-		Revision: rev,
-		Age:      -1,
-		Ready:    s.ready,
-		Platform: s.platform,
-		Blind:    s.Blind(now, rev),
-		Out:      s.out,
-	}
-	if to.beats%memberEvery == 0 {
-		h.Member = &s.self
-	}
-	to.beats++
-	if to.lastAt != 0 {
-		h.Echo = to.lastTime
-		h.Hold = now - to.lastAt
-	}
-	if s.Behind(rev) {
-		return h // what this daemon heard may rest on a newer view
-	}
-	if now-s.confirmed <= Lease {
-		h.Age = now - s.confirmed
-	}
-	for _, p := range s.sample(heardSample) {
-		if p != to && now-p.sent <= s.suspect() {
-			h.Heard = append(h.Heard, peer.Heard{Num: p.Num, Age: now - p.sent})
-		}
-	}
-	return h
-}
-
-// suspect returns the silence after which a daemon counts as dead.
-func (s *Set) suspect() clock.Milli {
-	if len(s.peers) <= fullMesh {
-		return Suspect
-	}
-	return suspectLarge
-}
-
-// Audience returns the peers that the next round of heartbeats goes to: all
-// of a small set, else a few that change from round to round, so that a
-// daemon's traffic does not grow with the set.
-func (s *Set) Audience() []*Peer {
-	s.round++
-	if len(s.peers) <= fullMesh {
-		return s.Peers()
-	}
-	return s.sample(fanOut)
-}
-
-// sample returns up to n peers, others in each round.
-func (s *Set) sample(n int) []*Peer {
-	list := s.Peers()
-	if len(list) <= n {
-		return list
-	}
-	picked := make([]*Peer, 0, n)
-	start := flow.Score(s.round, s.selfSeed) % uint64(len(list))
-	stride := len(list) / n
-	for i := range n {
-		picked = append(picked, list[(int(start)+i*stride)%len(list)])
-	}
-	return picked
-}
-
-// Take handles a heartbeat. It reports whether the sender knows a newer view.
-func (s *Set) Take(now clock.Milli, from schema.VMID, h *peer.Heartbeat, mine schema.Version) bool {
-	if h.Member != nil {
-		s.Register(now, []*schema.Member{h.Member})
-	}
-	p := s.peers[from]
-	if p == nil || (p.boot == h.Boot && h.Time <= p.lastTime) {
-		return false // own, late or duplicate
-	}
-	p.boot = h.Boot
-	if h.Member != nil {
-		p.Member = *h.Member
-	}
-	p.Ready, p.Out, p.Platform, p.Revision = h.Ready, h.Out, h.Platform, h.Revision
-	p.Blind = h.Blind
-	p.Heard, p.lastTime, p.lastAt = now, h.Time, now
-	s.newest = max(s.newest, h.Revision)
-	if h.Echo == 0 {
-		return h.Revision > mine // no bound on its age yet
-	}
-	sent := h.Echo + h.Hold
-	p.sent = max(p.sent, sent)
-	if h.Age >= 0 && h.Revision == mine {
-		s.confirmed = max(s.confirmed, sent-h.Age)
-	}
-	if h.Revision <= mine {
-		s.relayed(sent, h.Heard)
-	}
-	return h.Revision > mine
-}
-
-// relayed takes what a peer told of other daemons at the time sent.
-func (s *Set) relayed(sent clock.Milli, list []peer.Heard) {
-	for _, heard := range list {
-		if p := s.ByNum(heard.Num); p != nil {
-			p.sent = max(p.sent, sent-heard.Age)
-		}
-	}
-}
-
 // Tick advances time. A gap since the last tick means that this process did
 // not run: its peers were not silent, it was deaf.
 func (s *Set) Tick(now clock.Milli, ready, out, platform bool) {
@@ -358,30 +187,6 @@
 	s.lastTick, s.ready, s.out, s.platform = now, ready, out, platform
 }
 
-// Blind reports whether the view of revision mine is known to be old, or this
-// daemon can't tell as it hears nobody or did not run. A view whose lease has
-// lapsed for another reason, such as a peer that died while the platform is
-// down, is the best there is.
-func (s *Set) Blind(now clock.Milli, mine schema.Version) bool {
-	if now-s.confirmed <= Lease && s.newest <= mine {
-		return false
-	}
-	return s.newest > mine || s.Deaf(now) || now-s.lastTick > pause
-}
-
-// Deaf reports whether all peers fell silent at once. That is more likely a
-// fault of this daemon's receiving side than of all the others.
-func (s *Set) Deaf(now clock.Milli) bool {
-	lately := false
-	for _, p := range s.peers {
-		if p.Near(now) {
-			return false
-		}
-		lately = lately || now-p.Heard <= Gone && p.Ready && !p.Out
-	}
-	return lately
-}
-
 // Alive reports whether the peer was heard lately, here or by another daemon.
 // What others heard counts, so that daemons with lossy or cut links between
 // them still agree on the homes.
@@ -395,10 +200,10 @@
 	return now-p.Heard <= p.set.suspect()
 }
 
-// Silent reports whether the peer was not heard of for so long that it counts
-// as gone.
-func (p *Peer) Silent(now clock.Milli) bool {
-	return now-max(p.Heard, p.sent) > Gone
+// SilentFor reports whether the peer was known to this daemon for a span and
+// not heard of in it, here or elsewhere.
+func (p *Peer) SilentFor(now, span clock.Milli) bool {
+	return now-max(p.Heard, p.sent, p.known) > span
 }
 
 // Fit reports whether the peer is alive and may have duties.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -123,7 +123,7 @@
 	Pull      *Pull
 	Objects   *Objects
 	Records   *Records
-	Reports   []Report
+	Reports   []*Report
 }
 
 // MaxMessage is the largest frame in bytes that a daemon accepts.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -281,12 +281,12 @@
 
 func (d *Daemon) writeLoop(ctx context.Context) error {
 	return drain(ctx, d.writes, func(w daemon.Write) {
-		v, err := d.platform.Put(ctx, w.ID, w.Expect, w.Data)
+		v, err := d.write(ctx, w)
 		d.metrics.PlatformCall("write", err)
 		if err != nil {
-			d.log.Infof("planner: placement %s not written: %s", w.ID.Name, err)
+			d.log.Infof("planner: %s %s not written: %s", w.ID.Kind, w.ID.Name, err)
 		} else {
-			d.log.Infof("planner: placement %s is version %d", w.ID.Name, v)
+			d.log.Infof("planner: %s %s is version %d", w.ID.Kind, w.ID.Name, v)
 		}
 		d.event(func(_ clock.Milli, m *daemon.Machine) daemon.Output {
 			m.Written()
@@ -295,6 +295,13 @@
 	})
 }
 
+func (d *Daemon) write(ctx context.Context, w daemon.Write) (schema.Version, error) {
+	if w.Data == nil {
+		return d.platform.Delete(ctx, w.ID, w.Expect)
+	}
+	return d.platform.Put(ctx, w.ID, w.Expect, w.Data)
+}
+
 func (d *Daemon) probeLoop(ctx context.Context) error {
 	p := probe.New()
 	defer p.Close()
--- a/internal/state/record/record.go
+++ b/internal/state/record/record.go
@@ -85,12 +85,14 @@
 	return true
 }
 
-// Doubt makes all records proposals, as when this daemon is no longer told of
-// changes to them.
-func (s *Store) Doubt() {
+// Doubt makes proposals of the records that mine does not hold for: this
+// daemon is no longer told of changes to them.
+func (s *Store) Doubt(mine func(flow.Key) bool) {
 	for k, r := range s.records {
-		r.Fresh = clock.Never
-		s.records[k] = r
+		if !mine(k) {
+			r.Fresh = clock.Never
+			s.records[k] = r
+		}
 	}
 }
 
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -1,7 +1,10 @@
 package view
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/protocol/object"
@@ -30,11 +33,14 @@
 
 // Entry is one service with its pool and table.
 type Entry struct {
-	Route schema.Route
+	Service schema.Service
+	Route   schema.Route
 	// Pool is nil while no pool has the route's name.
 	Pool  *schema.Pool
 	Dests map[schema.Handle]*Dest
-	Table *Table
+	// Targets holds the values of Dests in the pool's order.
+	Targets []*Dest
+	Table   *Table
 }
 
 // Dest returns the destination of a handle if packets may go there now.
@@ -51,6 +57,7 @@
 	store    *Store
 	grace    clock.Milli
 	services map[schema.Service]*Entry
+	sorted   []*Entry
 	tables   map[schema.Service]*Table
 	outVM    map[string]bool
 	outDC    map[string]bool
@@ -130,9 +137,10 @@
 	return v.services[s]
 }
 
-// Entries returns all entries by service.
-func (v *View) Entries() map[schema.Service]*Entry {
-	return v.services
+// Entries returns all entries, by service key. The order is fixed, so that the
+// same events always lead to the same actions.
+func (v *View) Entries() []*Entry {
+	return v.sorted
 }
 
 // Members returns the registered daemons.
@@ -169,6 +177,9 @@
 		services[s] = v.entry(r, pools[r.Name])
 	}
 	v.services = services
+	v.sorted = slices.SortedFunc(maps.Values(services), func(a, b *Entry) int {
+		return strings.Compare(a.Service.Key(), b.Service.Key())
+	})
 }
 
 // marks returns the names that are marked out and the versions of all marks.
@@ -242,7 +253,7 @@
 }
 
 func (v *View) entry(r *schema.Route, p *schema.Pool) *Entry {
-	e := &Entry{Route: *r, Pool: p, Dests: make(map[schema.Handle]*Dest), Table: v.tables[r.Service()]}
+	e := &Entry{Service: r.Service(), Route: *r, Pool: p, Dests: make(map[schema.Handle]*Dest), Table: v.tables[r.Service()]}
 	if e.Table == nil {
 		e.Table = new(Table)
 		v.tables[r.Service()] = e.Table
@@ -266,6 +277,7 @@
 			From:   o.from,
 		}
 		e.Dests[d.Handle] = d
+		e.Targets = append(e.Targets, d)
 	}
 	return e
 }
