internal/coordination/daemon: full record tables and relay limits never guess

Cause: reading home.go as a newcomer: at the relay limit a home decided alone though its partner lived, and a full table sent established flows with a known target to the base. Ruled out: a larger limit, which only hides it. Change: forward drops at the limit (too_many_hops); a full first home still asks the second; a full second home opens only on the base.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -199,6 +199,23 @@
 	}
 }
 
+// TestFullRecordTable drains a target while the daemons have room for a few
+// records only: flows that can't be recorded open where they need none.
+func TestFullRecordTable(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w, p := today(seed, 1400, 300, 30*clock.Second, WithRecords(40))
+		drain(w, p)
+		w.run(2 * clock.Second)
+		add(w, p)
+		w.run(20 * clock.Second)
+		for _, n := range w.nodes {
+			require.LessOrEqual(t, n.m.Records(), 40)
+		}
+		require.Zero(t, w.stats.broken, w.why)
+		require.Zero(t, w.stats.wrongPool)
+	}
+}
+
 // TestModelRepeats runs one case twice: the same seed must give the same run,
 // or no verdict of this package could be repeated.
 func TestModelRepeats(t *testing.T) {
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -106,9 +106,6 @@
 // passOn gives the packet to a home, as this daemon's view may be old. It
 // reports false if there is no other home to give it to.
 func (d *decision) passOn() (Verdict, bool) {
-	if d.p.Relay.Hops >= maxHops {
-		return Verdict{}, false
-	}
 	other := d.home(d.m.set.Num(), d.p.Relay.From)
 	if other == nil {
 		return Verdict{}, false
@@ -120,7 +117,12 @@
 	return d.forward(other, geneve.Ask, hint), true
 }
 
+// forward passes the packet to another daemon, unless it was passed on too
+// often: daemons whose views differ must not pass it to and fro.
 func (d *decision) forward(to *member.Peer, s geneve.Step, t schema.Handle) Verdict {
+	if d.p.Relay.Hops >= maxHops {
+		return drop(TooManyHops)
+	}
 	asker := d.p.Relay.Asker
 	if d.p.Relay.Step == geneve.FromFabric {
 		asker = d.m.set.Num()
--- a/internal/coordination/daemon/home.go
+++ b/internal/coordination/daemon/home.go
@@ -44,7 +44,7 @@
 	if pair.Has(self) && (first == nil || first.Num != pair.Num[0]) {
 		return d.asHome(hint)
 	}
-	if first != nil && d.p.Relay.Hops < maxHops {
+	if first != nil {
 		return d.forward(first, geneve.Ask, hint)
 	}
 	return drop(NoHome)
@@ -107,35 +107,40 @@
 	other := d.second()
 	if other == nil {
 		if !d.m.records.Put(d.now, d.p.Key, t) {
-			return d.unrecorded(t)
+			return d.unrecorded(d.spare(t))
 		}
 		return d.deliver(t)
 	}
 	if !d.m.records.Propose(d.now, d.p.Key, t) {
-		return d.unrecorded(t)
+		t = d.spare(t)
 	}
 	return d.forward(other, geneve.Store, t)
 }
 
-// unrecorded handles a flow for which there is no room: a new one opens on
-// the base, where it needs no record.
-func (d *decision) unrecorded(t schema.Handle) Verdict {
-	if !d.p.Open || t == d.bucket.Base {
-		return d.deliver(d.bucket.Base)
+// spare returns the target for a flow for which there is no room here: a new
+// one opens on the base if it may, where it needs no record.
+func (d *decision) spare(t schema.Handle) schema.Handle {
+	if !d.p.Open {
+		return t
 	}
-	if p, _ := d.entry.Table.Newest(); p != nil {
-		if s := view.Slot(p, d.bucket.Base); s != nil && d.mayOpen(*s) {
-			return d.deliver(d.bucket.Base)
-		}
+	p, _ := d.entry.Table.Newest()
+	if s := view.Slot(p, d.bucket.Base); s != nil && d.mayOpen(*s) {
+		return d.bucket.Base
+	}
+	return t
+}
+
+// unrecorded handles a flow that could not be stored: an established one goes
+// on, and a new one opens only where it needs no record.
+func (d *decision) unrecorded(t schema.Handle) Verdict {
+	if d.p.Open && t != d.bucket.Base {
+		return drop(OverBudget)
 	}
-	return drop(OverBudget)
+	return d.deliver(t)
 }
 
 // second returns the home besides this daemon, or nil.
 func (d *decision) second() *member.Peer {
-	if d.p.Relay.Hops >= maxHops {
-		return nil
-	}
 	return d.home(d.m.set.Num())
 }
 
--- a/internal/coordination/daemon/open.go
+++ b/internal/coordination/daemon/open.go
@@ -52,7 +52,7 @@
 	if s.Admitter == d.m.set.Self().ID {
 		return d.chooseOpen(d.admitted(s))
 	}
-	if a := d.m.set.Peer(s.Admitter); a != nil && a.Alive(d.now) && d.p.Relay.Hops < maxHops {
+	if a := d.m.set.Peer(s.Admitter); a != nil && a.Alive(d.now) {
 		return d.forward(a, geneve.Admit, 0)
 	}
 	return d.chooseOpen(d.fallback(s.Handle))
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -35,6 +35,7 @@
 	OldView
 	NoHome
 	NoQuorum
+	TooManyHops
 	IsNote
 
 	// Reasons is the number of reasons.
@@ -43,7 +44,7 @@
 
 var reasonNames = [Reasons]string{
 	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
-	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "note",
+	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "too_many_hops", "note",
 }
 
 // String returns the name used in metrics.
