internal/coordination: a flow key that is used again at once

Ruled out: keeping such flows on the leaving target (new work on it); shorter lives for copies (each costs a relay a flow and daemon). Change: a record knows whether a packet other than a first one passed; a first packet for such a record whose target takes no more makes all daemons forget the record and waits for its repetition. Conclusion: costs one second for a key that is used again while its target leaves.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -216,6 +216,32 @@
 	}
 }
 
+// TestPortReuse closes established flows of a draining target and opens new
+// ones under the same keys at once.
+func TestPortReuse(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w, p := today(seed, 700, 50, 40*clock.Second)
+		h := w.hosts[p.Targets[3].Address]
+		drain(w, p)
+		w.run(8 * clock.Second)
+		opens := len(h.opens)
+		reused := 0
+		for _, c := range w.sortedFlows() {
+			if c.host != h {
+				continue
+			}
+			w.end(c, nil)
+			w.reopen(c)
+			reused++
+		}
+		w.run(20 * clock.Second)
+		require.Greater(t, reused, 20)
+		require.Len(t, h.opens, opens, "no new work on the leaving target")
+		require.Zero(t, w.stats.broken, w.why)
+		require.Zero(t, w.stats.refused)
+	}
+}
+
 // TestModelRepeats runs one case twice: the same seed must give the same run,
 // or no verdict of this package could be repeated.
 func TestModelRepeats(t *testing.T) {
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -20,6 +20,7 @@
 	}
 	if p.Relay.Step == geneve.Note {
 		m.records.Put(now, p.Key, p.Relay.Target)
+		m.records.Touch(now, p.Key, p.Relay.Opening)
 		return drop(IsNote)
 	}
 	d := decision{m: m, now: now, p: p, hash: p.Key.Hash()}
@@ -146,8 +147,11 @@
 		return d.atRest()
 	}
 	r, ok := d.m.records.Get(d.p.Key)
-	if ok && d.now-r.Fresh <= d.m.refresh && !d.reopens(r.Target, r.Opened) {
-		d.m.records.Touch(d.now, d.p.Key, r)
+	if ok && d.now-r.Fresh <= d.m.refresh && (r.Established || !d.reopens(r)) && d.entry.Dest(d.now, r.Target) != nil {
+		if d.reused(r) {
+			return d.forget()
+		}
+		d.m.records.Touch(d.now, d.p.Key, d.p.Open)
 		return d.deliver(r.Target)
 	}
 	hint := schema.Handle(0)
--- a/internal/coordination/daemon/handover.go
+++ b/internal/coordination/daemon/handover.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// sendForgotten tells all daemons to drop the records of flows that ended.
+func (m *Machine) sendForgotten() {
+	if len(m.forgotten) == 0 {
+		return
+	}
+	var list []peer.FlowRecord
+	for _, k := range m.forgotten {
+		list = append(list, peer.FlowRecord{Key: k.Append(nil)})
+	}
+	m.forgotten = m.forgotten[:0]
+	for _, p := range m.set.Peers() {
+		m.send(p, peer.Message{Records: &peer.Records{Records: list}}, false)
+	}
+}
+
 // Pending returns how many records wait to be handed over.
 func (m *Machine) Pending() int {
 	return len(m.queue)
@@ -105,6 +120,10 @@
 		if !ok {
 			continue
 		}
+		if r.Target == 0 {
+			m.records.Delete(k)
+			continue
+		}
 		old, known := m.records.Get(k)
 		home := m.isHome(k)
 		switch {
--- a/internal/coordination/daemon/home.go
+++ b/internal/coordination/daemon/home.go
@@ -7,6 +7,7 @@
 	"coltsfootdock/internal/coordination/member"
 	"coltsfootdock/internal/protocol/geneve"
 	"coltsfootdock/internal/protocol/peer"
+	"coltsfootdock/internal/state/record"
 	"coltsfootdock/internal/state/view"
 	"coltsfootdock/pkg/schema"
 )
@@ -65,11 +66,14 @@
 	r, ok := d.m.records.Get(d.p.Key)
 	if ok && !r.Confirmed() {
 		ok = false
-		if !d.reopens(r.Target, r.Opened) {
+		if !d.reopens(r) {
 			hint = r.Target
 		}
 	}
-	if ok && !d.reopens(r.Target, r.Opened) {
+	if ok && d.reused(r) {
+		return d.forget()
+	}
+	if ok && !d.reopens(r) {
 		return d.known(r.Target, d.now-r.Fresh > d.m.refresh)
 	}
 	if d.alone() && !d.m.quorum(d.now) {
@@ -95,8 +99,7 @@
 	if other := d.second(); stale && other != nil {
 		return d.forward(other, geneve.Store, t)
 	}
-	r, _ := d.m.records.Get(d.p.Key)
-	d.m.records.Touch(d.now, d.p.Key, r)
+	d.m.records.Touch(d.now, d.p.Key, d.p.Open)
 	return d.deliver(t)
 }
 
@@ -161,7 +164,7 @@
 	t := d.p.Relay.Target
 	r, ok := d.m.records.Get(d.p.Key)
 	switch {
-	case ok && !d.reopens(r.Target, r.Opened):
+	case ok && !d.reopens(r):
 		t = r.Target
 	case t == 0:
 		t = d.bucket.Base
@@ -170,9 +173,26 @@
 		d.count = 0
 		return d.unrecorded(t)
 	}
+	d.m.records.Touch(d.now, d.p.Key, d.p.Open)
 	return d.deliver(t)
 }
 
+// reused reports whether the packet opens a new flow under the key of an
+// established one whose target takes no more. Other daemons may hold copies of
+// that record.
+func (d *decision) reused(r record.Record) bool {
+	return r.Established && d.reopens(r)
+}
+
+// forget drops the record of a flow that ended, here and at all daemons. The
+// new flow opens with the repetition of its first packet, when the copies are
+// gone.
+func (d *decision) forget() Verdict {
+	d.m.records.Delete(d.p.Key)
+	d.m.forgotten = append(d.m.forgotten, d.p.Key)
+	return drop(KeyReused)
+}
+
 // noteAsker remembers to tell the asker of an established flow. The record of
 // a flow that opens may still change, and only its homes would know.
 func (d *decision) noteAsker() {
--- a/internal/coordination/daemon/machine.go
+++ b/internal/coordination/daemon/machine.go
@@ -127,6 +127,8 @@
 	lastProbe clock.Milli
 	lastSweep clock.Milli
 	queue     []flow.Key
+	// forgotten lists the flows whose record is to be dropped everywhere.
+	forgotten []flow.Key
 	out       Output
 }
 
@@ -240,6 +242,7 @@
 	m.sweep(now)
 	m.plan(now)
 	m.drainQueue(now)
+	m.sendForgotten()
 	return m.flush()
 }
 
--- a/internal/coordination/daemon/open.go
+++ b/internal/coordination/daemon/open.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/protocol/geneve"
 	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/internal/state/record"
 	"coltsfootdock/internal/state/view"
 	"coltsfootdock/pkg/schema"
 )
@@ -26,16 +26,17 @@
 // reopens reports whether an opening packet starts a new flow under the key
 // of an old one whose target takes no more. A repetition of the first packet,
 // which comes within repeatWindow, stays with a target that drains.
-func (d *decision) reopens(t schema.Handle, opened clock.Milli) bool {
+func (d *decision) reopens(r record.Record) bool {
 	if !d.p.Open {
 		return false
 	}
-	if d.entry.Dest(d.now, t) == nil {
+	if d.entry.Dest(d.now, r.Target) == nil {
 		return true
 	}
 	p, _ := d.entry.Table.Newest()
-	s := view.Slot(p, t)
-	return (s == nil || s.Closed) && d.now-opened > repeatWindow
+	s := view.Slot(p, r.Target)
+	repeated := !r.Established && d.now-r.Opened <= repeatWindow
+	return (s == nil || s.Closed) && !repeated
 }
 
 // open picks the target of a new flow. A target that can't take one now keeps
@@ -120,7 +121,7 @@
 // in the meantime goes before it.
 func (d *decision) decided() Verdict {
 	r, ok := d.m.records.Get(d.p.Key)
-	if !ok || d.reopens(r.Target, r.Opened) {
+	if !ok || d.reopens(r) {
 		return d.choose(d.p.Relay.Target)
 	}
 	if r.Confirmed() {
--- a/internal/coordination/daemon/traffic_test.go
+++ b/internal/coordination/daemon/traffic_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"coltsfootdock/internal/clock"
@@ -66,7 +69,7 @@
 		c.step("   %s", n.homesOf(p.Key))
 	}
 	for _, to := range v.Notes[:v.NoteCount] {
-		note := geneve.Packet{Key: p.Key, Relay: geneve.Relay{Step: geneve.Note, From: n.m.set.Num(), Target: v.Noted}}
+		note := geneve.Packet{Key: p.Key, Relay: geneve.Relay{Step: geneve.Note, From: n.m.set.Num(), Target: v.Noted, Opening: p.Open}}
 		n.pass(to, c, note)
 	}
 	switch v.Action {
@@ -245,3 +248,17 @@
 		w.why = append(w.why, fmt.Sprintf("%d ms: ", w.now)+fmt.Sprintf(format, args...))
 	}
 }
+
+// sortedFlows returns the flows in a fixed order.
+func (w *world) sortedFlows() []*client {
+	return slices.SortedFunc(maps.Values(w.flows), func(a, b *client) int {
+		return bytes.Compare(a.key.Append(nil), b.key.Append(nil))
+	})
+}
+
+// reopen starts a new flow under the key of one that ended.
+func (w *world) reopen(old *client) {
+	c := &client{key: old.key, vni: old.vni, left: 20, interval: 300}
+	w.flows[c.key] = c
+	w.syn(c)
+}
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -36,6 +36,7 @@
 	NoHome
 	NoQuorum
 	TooManyHops
+	KeyReused
 	IsNote
 
 	// Reasons is the number of reasons.
@@ -44,7 +45,7 @@
 
 var reasonNames = [Reasons]string{
 	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
-	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "too_many_hops", "note",
+	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "too_many_hops", "key_reused", "note",
 }
 
 // String returns the name used in metrics.
--- a/internal/protocol/geneve/relay.go
+++ b/internal/protocol/geneve/relay.go
@@ -42,6 +42,8 @@
 	From, Asker peer.Num
 	// Target is the choice so far, zero if there is none.
 	Target schema.Handle
+	// Opening is set in a note about the first packet of a flow.
+	Opening bool
 }
 
 // Packet is what a decision needs to know of a packet.
@@ -66,7 +68,11 @@
 )
 
 func (r *Relay) append(b []byte) []byte {
-	b = append(b, byte(r.Step), r.Hops, 0, 0)
+	opening := byte(0)
+	if r.Opening {
+		opening = 1
+	}
+	b = append(b, byte(r.Step), r.Hops, opening, 0)
 	b = binary.BigEndian.AppendUint32(b, uint32(r.From))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Asker))
 	return binary.BigEndian.AppendUint64(b, uint64(r.Target))
@@ -77,11 +83,12 @@
 		return Relay{}, false
 	}
 	r := Relay{
-		Step:   Step(b[0]),
-		Hops:   b[1],
-		From:   peer.Num(binary.BigEndian.Uint32(b[4:])),
-		Asker:  peer.Num(binary.BigEndian.Uint32(b[8:])),
-		Target: schema.Handle(binary.BigEndian.Uint64(b[12:])),
+		Step:    Step(b[0]),
+		Hops:    b[1],
+		Opening: b[2] == 1,
+		From:    peer.Num(binary.BigEndian.Uint32(b[4:])),
+		Asker:   peer.Num(binary.BigEndian.Uint32(b[8:])),
+		Target:  schema.Handle(binary.BigEndian.Uint64(b[12:])),
 	}
 	return r, r.Step > FromFabric && r.Step < steps
 }
--- a/internal/state/record/record.go
+++ b/internal/state/record/record.go
@@ -16,6 +16,8 @@
 // Record tells the target of one flow.
 type Record struct {
 	Target schema.Handle
+	// Established is set once a packet other than a first one passed.
+	Established bool
 	// Opened is when the record was made here.
 	Opened clock.Milli
 	// Seen is when a packet of the flow last passed here.
@@ -63,7 +65,7 @@
 		return false
 	}
 	if r.Target != t {
-		r.Opened = now
+		r.Opened, r.Established = now, false
 	}
 	r.Target, r.Seen, r.Fresh = t, now, now
 	s.records[k] = r
@@ -96,15 +98,22 @@
 	}
 }
 
-// Touch notes that a packet of the flow passed.
-func (s *Store) Touch(now clock.Milli, k flow.Key, r Record) {
-	if now-r.Seen < clock.Second {
+// Touch notes that a packet of the flow passed, and whether it was a first one.
+func (s *Store) Touch(now clock.Milli, k flow.Key, first bool) {
+	r, ok := s.records[k]
+	if !ok || now-r.Seen < clock.Second && (first || r.Established) {
 		return
 	}
 	r.Seen = now
+	r.Established = r.Established || !first
 	s.records[k] = r
 }
 
+// Delete drops a record.
+func (s *Store) Delete(k flow.Key) {
+	delete(s.records, k)
+}
+
 // Full reports whether a record was refused within the idle limit.
 func (s *Store) Full(now clock.Milli) bool {
 	return now-s.full < s.idle
--- a/internal/transport/packet/packet.go
+++ b/internal/transport/packet/packet.go
@@ -117,7 +117,7 @@
 	if v.NoteCount == 0 {
 		return
 	}
-	self.Step, self.Target = geneve.Note, v.Noted
+	self.Step, self.Target, self.Opening = geneve.Note, v.Noted, pkt.Open
 	data := p.encoder.Note(&pkt.Key, self)
 	for _, to := range v.Notes[:v.NoteCount] {
 		p.send(data, to)
