cmd/coltsfootdock/cmd, internal/serve: progress of a change, histograms by tenant

Ruled out: a second API call for progress: the edit repeated under its operation id answers it. Change: edits wait half a second at a time and print how many daemons have the version; packet histograms carry team and route.

--- a/cmd/coltsfootdock/cmd/mark.go
+++ b/cmd/coltsfootdock/cmd/mark.go
@@ -25,7 +25,9 @@
 						return err
 					}
 				}
-				change, err := c.Mark(ctx, kind, name, out, r.edit())
+				change, err := r.progress(func(e client.Edit) (schema.Change, error) {
+					return c.Mark(ctx, kind, name, out, e)
+				})
 				return r.changed(what+" "+name, change, err)
 			})
 	}
--- a/cmd/coltsfootdock/cmd/root.go
+++ b/cmd/coltsfootdock/cmd/root.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -19,6 +20,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/peterbourgon/ff/v3"
@@ -201,6 +203,32 @@
 	return nil
 }
 
+const (
+	progressSteps = 20
+	progressWait  = 500 * time.Millisecond
+)
+
+// progress repeats an edit under one operation id until it is in force on all
+// live daemons, and prints how far it has come. The API recognises the id, so
+// the edit is made once.
+func (r *remote) progress(put func(client.Edit) (schema.Change, error)) (schema.Change, error) {
+	e := r.edit()
+	e.Operation = schema.OperationID("op-" + rand.Text())
+	e.Wait = progressWait
+	var c schema.Change
+	for range progressSteps {
+		var err error
+		c, err = put(e)
+		if err != nil || !c.Stored || len(c.Waiting) == 0 {
+			return c, err
+		}
+		if !*r.json {
+			fmt.Fprintf(r.out, "version %d: in force on %d of %d daemons\n", c.Version, len(c.InForce), len(c.InForce)+len(c.Waiting))
+		}
+	}
+	return c, nil
+}
+
 // oneName returns the only argument of a command.
 func oneName(args []string, what string) (string, error) {
 	if len(args) != 1 {
--- a/cmd/coltsfootdock/cmd/route.go
+++ b/cmd/coltsfootdock/cmd/route.go
@@ -45,7 +45,9 @@
 			if err := v.Check(); err != nil {
 				return err
 			}
-			change, err := client.Put(ctx, c, v.Name, v, r.edit())
+			change, err := r.progress(func(e client.Edit) (schema.Change, error) {
+				return client.Put(ctx, c, v.Name, v, e)
+			})
 			return r.changed("route "+name, change, err)
 		})
 }
--- a/cmd/coltsfootdock/cmd/target.go
+++ b/cmd/coltsfootdock/cmd/target.go
@@ -94,10 +94,11 @@
 	if err := p.Check(); err != nil {
 		return err
 	}
-	e := r.edit()
-	if !e.Strict {
-		e.Strict, e.Expect = true, row.Version
-	}
-	done, err := client.Put(ctx, c, name, p, e)
+	done, err := r.progress(func(e client.Edit) (schema.Change, error) {
+		if !e.Strict {
+			e.Strict, e.Expect = true, row.Version
+		}
+		return client.Put(ctx, c, name, p, e)
+	})
 	return r.changed("pool "+string(name), done, err)
 }
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -99,7 +99,7 @@
 func (d *decision) noPool() Verdict {
 	first := d.p.Open && !d.p.Payload && d.p.Key.Protocol == flow.ProtocolTCP
 	if first && d.fresh && d.p.Relay.Step == geneve.FromFabric {
-		return Verdict{Action: Refuse, Reason: NoPool, Name: d.entry.Route.Name}
+		return Verdict{Action: Refuse, Reason: NoPool, Name: d.entry.Route.Name, Team: d.entry.Route.Team}
 	}
 	return drop(NoPool)
 }
@@ -189,6 +189,7 @@
 		VNI:    dest.VNI,
 		Noted:  t,
 		Name:   d.entry.Route.Name,
+		Team:   d.entry.Route.Team,
 	}
 	for _, n := range d.notes[:d.count] {
 		if p := d.m.set.ByNum(n); p != nil {
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -68,6 +68,7 @@
 	Notes     [maxNotes]netip.AddrPort
 	NoteCount int
 	Noted     schema.Handle
-	// Name is the route's name, for metrics.
+	// Name and Team are the route's, for metrics.
 	Name schema.Name
+	Team schema.Team
 }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -22,14 +22,20 @@
 	dropped [daemon.Reasons]*metrics.Counter
 	sent    [4]*metrics.Counter
 	unsent  *metrics.Counter
-	sizes   map[schema.Name]*metrics.Histogram
+	sizes   map[class]*metrics.Histogram
+}
+
+// class is what the histograms are kept for: a tenant's route.
+type class struct {
+	team  schema.Team
+	route schema.Name
 }
 
 var actionNames = [4]string{"drop", "deliver", "forward", "refuse"}
 
 // NewMetrics returns the metrics of d.
 func NewMetrics(d *Daemon) *Metrics {
-	m := &Metrics{set: metrics.NewSet(), sizes: make(map[schema.Name]*metrics.Histogram)}
+	m := &Metrics{set: metrics.NewSet(), sizes: make(map[class]*metrics.Histogram)}
 	for f := range m.faults {
 		m.faults[f] = m.set.NewCounter(fmt.Sprintf(`coltsfootdock_malformed_total{reason=%q}`, geneve.Fault(f)))
 	}
@@ -74,10 +80,11 @@
 	if v.Name == "" {
 		return
 	}
-	h := m.sizes[v.Name] // used by the packet service alone
+	c := class{team: v.Team, route: v.Name}
+	h := m.sizes[c] // used by the packet service alone
 	if h == nil {
-		h = m.set.GetOrCreateHistogram(fmt.Sprintf(`coltsfootdock_packet_bytes{route=%q}`, v.Name))
-		m.sizes[v.Name] = h
+		h = m.set.GetOrCreateHistogram(fmt.Sprintf(`coltsfootdock_packet_bytes{team=%q,route=%q}`, c.team, c.route))
+		m.sizes[c] = h
 	}
 	h.Update(float64(bytes))
 }
