internal/standin/target: the health endpoint can lag

Ruled out: a delay of the answer itself, which is a slow endpoint, not an old state. No test uses the lag yet.

--- a/cmd/standin/cmd/target.go
+++ b/cmd/standin/cmd/target.go
@@ -21,6 +21,7 @@
 	address := fs.String("address", "127.0.0.1:6100", "UDP address for Geneve packets")
 	health := fs.String("health", "127.0.0.1:6101", "TCP address of the health endpoint")
 	slots := fs.Int("slots", 4, "requests that run at once")
+	lag := fs.Duration("health-lag", 0, "how old an answer of the health endpoint may be")
 	starting := fs.Duration("starting", 0, "how long the target reports that it starts")
 	return &ffcli.Command{
 		Name:       "target",
@@ -30,7 +31,7 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			cfg := target.Config{
 				ID: schema.TargetID(*id), Pool: schema.Name(*pool), VNI: schema.VNI(*vni),
-				Slots: *slots, Starting: *starting,
+				Slots: *slots, Starting: *starting, HealthLag: *lag,
 			}
 			var err error
 			if cfg.Address, err = netip.ParseAddrPort(*address); err != nil {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -65,6 +65,8 @@
 	Health  netip.AddrPort
 	// Starting is how long the target reports that it starts.
 	Starting time.Duration
+	// HealthLag is how old an answer of the health endpoint may be.
+	HealthLag time.Duration
 	// Slots bounds the requests that run at once.
 	Slots int
 }
@@ -91,6 +93,8 @@
 	state    string // what the health endpoint says, if not empty
 	open     int
 	report   Report
+	last     probe.Answer // what the health endpoint said at lastAt
+	lastAt   time.Time
 }
 
 // Listen opens a target.
@@ -181,9 +185,19 @@
 	return mux
 }
 
+// answer returns the state, or the last answer while that is not older than
+// the lag.
 func (t *Target) answer() probe.Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if time.Since(t.lastAt) >= t.cfg.HealthLag {
+		t.last, t.lastAt = t.now(), time.Now()
+	}
+	return t.last
+}
+
+// now returns the state that the endpoint is to tell. It needs the lock.
+func (t *Target) now() probe.Answer {
 	a := probe.Answer{State: "ready", Incarnation: uint64(t.started.UnixNano()), Open: uint32(t.open)}
 	if time.Since(t.started) < t.cfg.Starting {
 		a.State = "starting"
