--- a/internal/coordination/admit/admit.go
+++ b/internal/coordination/admit/admit.go
@@ -46,17 +46,3 @@
 	b.tokens--
 	return true
 }
-
-// Reset empties the bucket of a target, as after its restart.
-func (g *Budget) Reset(now clock.Milli, h schema.Handle) {
-	g.buckets[h] = &bucket{last: now}
-}
-
-// Keep forgets the targets that are not admitted here any more.
-func (g *Budget) Keep(mine map[schema.Handle]bool) {
-	for h := range g.buckets {
-		if !mine[h] {
-			delete(g.buckets, h)
-		}
-	}
-}
--- a/internal/coordination/daemon/handover.go
+++ b/internal/coordination/daemon/handover.go
@@ -105,11 +105,6 @@
 	}
 }
 
-// Pending returns how many records wait to be handed over.
-func (m *Machine) Pending() int {
-	return len(m.queue)
-}
-
 // takeRecords stores records that another daemon hands over. A record that
 // this daemon has already is kept, unless it is only proposed. Before this
 // daemon is a home of the flow the record is a proposal: the homes may still
