--- /dev/null
+++ b/cmd/coltsfootdock/cmd/entry.go
@@ -0,0 +1,103 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"coltsfootdock/internal/entry"
+	"coltsfootdock/internal/setup"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/transport/edge"
+	"coltsfootdock/pkg/schema"
+	"coltsfootdock/platform"
+)
+
+// entry runs an entry daemon on the users' platform, whose settings file the
+// environment names. The first SIGTERM or SIGINT starts a graceful stop,
+// SIGHUP reads the settings again.
+func (a *app) entry() *ffcli.Command {
+	fs := flag.NewFlagSet("coltsfootdock entry", flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	path := fs.String("config", "", "settings file of the platform")
+	port := fs.Uint("metrics-port", 0, "port of the metrics, on the daemon's own address; 0 serves none")
+	return &ffcli.Command{
+		Name:       "entry",
+		ShortUsage: "coltsfootdock entry --config FILE",
+		ShortHelp:  "run an entry daemon on the users' platform",
+		FlagSet:    fs,
+		Options:    envPrefix,
+		Exec: func(ctx context.Context, _ []string) error {
+			if *path == "" {
+				return usageError("--config FILE is missing, and " + platform.SettingsVariable + " is not set")
+			}
+			load := func() (*setup.Entry, error) { return platform.LoadSettings(*path) }
+			cfg, err := load()
+			if err != nil {
+				return err
+			}
+			if *port > 0 {
+				cfg.Metrics = netip.AddrPortFrom(cfg.Peer.Addr(), uint16(*port))
+			}
+			return runEntry(ctx, cfg, load, a)
+		},
+	}
+}
+
+func runEntry(ctx context.Context, cfg *setup.Entry, load func() (*setup.Entry, error), a *app) error {
+	d, err := entry.New(cfg, platformWire(load), entry.NewLogger(a.out))
+	if err != nil {
+		return err
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-hup:
+				d.Reload("signal")
+			case <-done:
+				return
+			}
+		}
+	}()
+	stop := context.AfterFunc(ctx, d.Leave)
+	defer stop()
+	return d.Serve(context.WithoutCancel(ctx))
+}
+
+// platformWire joins the daemon to the platform's forms.
+func platformWire(load func() (*setup.Entry, error)) entry.Wire {
+	return entry.Wire{
+		Packets: edge.Wire{
+			Prefix:    platform.PrefixSize,
+			MaxPacket: platform.MaxPacket,
+			Decode:    platform.Decode,
+			Address:   platform.Address,
+			Reset:     platform.Reset,
+			Client:    platform.ClientAddress,
+		},
+		Store: entry.Store{
+			List:    platform.ListPath,
+			Changes: platform.ChangesPath,
+			DecodeList: func(t fleet.Topic, body []byte) (entry.Page, error) {
+				p, err := platform.DecodeList(t, body)
+				return entry.Page(p), err
+			},
+			DecodeChanges: func(t fleet.Topic, since schema.Version, body []byte) (entry.Page, error) {
+				p, err := platform.DecodeChanges(t, since, body)
+				return entry.Page(p), err
+			},
+		},
+		ReadyPath: platform.ReadyPath,
+		Load:      load,
+	}
+}
--- a/cmd/coltsfootdock/cmd/root.go
+++ b/cmd/coltsfootdock/cmd/root.go
@@ -63,7 +63,7 @@
 		ShortUsage: "coltsfootdock <subcommand> [flags]",
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
-			a.serve(), a.check(), a.print(), a.version(),
+			a.serve(), a.entry(), a.check(), a.print(), a.version(),
 			a.route(), a.pool(), a.target(), a.vm(), a.dataCentre(), a.apply(), a.status(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -5,7 +5,10 @@
 // so two processes never compare values; they exchange ages instead.
 package clock
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Milli is a point in monotonic time or a span, in milliseconds.
 type Milli int64
@@ -31,7 +34,8 @@
 
 // Clock reads monotonic time. The zero value is not usable; see New.
 type Clock struct {
-	start time.Time
+	start   time.Time
+	skipped atomic.Int64
 }
 
 // New returns a clock that starts at zero.
@@ -42,5 +46,10 @@
 // Now returns the time since the clock was made. It never goes back, also
 // when the wall clock is stepped.
 func (c *Clock) Now() Milli {
-	return FromDuration(time.Since(c.start))
+	return FromDuration(time.Since(c.start)) + Milli(c.skipped.Load())
+}
+
+// Skip moves the clock forward by time that the VM was suspended.
+func (c *Clock) Skip(d Milli) {
+	c.skipped.Add(int64(d))
 }
--- /dev/null
+++ b/internal/coordination/fresh/crowd.go
@@ -0,0 +1,226 @@
+package fresh
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// suspectAfter is the silence after which a peer has no rank.
+	suspectAfter = 1500 * clock.Milli(1)
+	// forgetAfter is the silence after which a peer's address is dropped.
+	forgetAfter = clock.Minute
+	// fullMesh is the number of peers up to which all get every summary.
+	fullMesh = 10
+	// fanOut is the number of peers that get a summary in a larger crowd.
+	fanOut = 4
+	// tellNeighbours is the number of peers that a summary names.
+	tellNeighbours = 3
+)
+
+// Peer is another daemon.
+type Peer struct {
+	Addr        netip.AddrPort
+	ID          schema.VMID
+	DataCentre  schema.DataCentreID
+	incarnation uint64
+	seq         uint64
+	leaving     bool
+	// heard is when it, or word of it, was last heard.
+	heard clock.Milli
+	// direct is when it was last heard itself.
+	direct clock.Milli
+	score  uint64
+}
+
+// Crowd is the set of daemons that this one knows.
+type Crowd struct {
+	self  netip.AddrPort
+	score uint64
+	peers map[netip.AddrPort]*Peer
+	seeds []netip.AddrPort
+	round uint64
+	seed  uint64
+}
+
+// NewCrowd returns the crowd of a daemon that knows only its seeds.
+func NewCrowd(self netip.AddrPort, seeds []netip.AddrPort, seed uint64) *Crowd {
+	c := &Crowd{self: self, score: scoreOf(self), peers: make(map[netip.AddrPort]*Peer), seed: seed}
+	c.SetSeeds(seeds)
+	return c
+}
+
+// SetSeeds changes the addresses to begin with.
+func (c *Crowd) SetSeeds(seeds []netip.AddrPort) {
+	c.seeds = nil
+	for _, s := range seeds {
+		if s != c.self {
+			c.seeds = append(c.seeds, s)
+		}
+	}
+}
+
+func scoreOf(a netip.AddrPort) uint64 {
+	b, _ := a.MarshalBinary() // an address always encodes
+	return xxhash.Sum64(b)
+}
+
+// Summary takes word from a daemon itself. It reports false if the word is
+// late, a copy or its own.
+func (c *Crowd) Summary(now clock.Milli, from netip.AddrPort, id schema.VMID, dc schema.DataCentreID, incarnation, seq uint64, leaving bool) bool {
+	if from == c.self {
+		return false
+	}
+	p := c.peers[from]
+	if p == nil {
+		p = &Peer{Addr: from, score: scoreOf(from)}
+		c.peers[from] = p
+	}
+	if p.incarnation == incarnation && seq <= p.seq {
+		return false
+	}
+	p.ID, p.DataCentre, p.incarnation, p.seq, p.leaving = id, dc, incarnation, seq, leaving
+	p.heard, p.direct = now, now
+	return true
+}
+
+// Neighbour takes a peer's word that it heard a daemon at the given time.
+func (c *Crowd) Neighbour(heard clock.Milli, addr netip.AddrPort) {
+	if addr == c.self {
+		return
+	}
+	p := c.peers[addr]
+	if p == nil {
+		p = &Peer{Addr: addr, heard: heard, direct: clock.Never, score: scoreOf(addr)}
+		c.peers[addr] = p
+	}
+	p.heard = max(p.heard, heard)
+}
+
+// alive reports whether a peer was heard of lately and stays.
+func (p *Peer) alive(now clock.Milli, n int) bool {
+	span := suspectAfter
+	if n > fullMesh {
+		span *= 2
+	}
+	return !p.leaving && now-p.heard <= span
+}
+
+// Alive returns the number of peers that live.
+func (c *Crowd) Alive(now clock.Milli) int {
+	n := 0
+	for _, p := range c.peers {
+		if p.alive(now, len(c.peers)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Rank returns this daemon's rank among those that live, by an order that all
+// share.
+func (c *Crowd) Rank(now clock.Milli) int {
+	n := 0
+	for _, p := range c.peers {
+		if p.alive(now, len(c.peers)) && p.score < c.score {
+			n++
+		}
+	}
+	return n
+}
+
+// Admits reports whether this daemon admits the opens of a cold target: the
+// one of those that live with the highest score for it.
+func (c *Crowd) Admits(now clock.Milli, code fleet.Code) bool {
+	mine := mix(c.score, code)
+	for _, p := range c.peers {
+		if p.alive(now, len(c.peers)) && mix(p.score, code) > mine {
+			return false
+		}
+	}
+	return true
+}
+
+func mix(score uint64, code fleet.Code) uint64 {
+	x := (score ^ uint64(code)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	return x ^ x>>29
+}
+
+// Audience returns whom the next summary goes to: all of a small crowd, else
+// a few that change from round to round, and the seeds while nobody is known.
+func (c *Crowd) Audience(now clock.Milli) []netip.AddrPort {
+	c.round++
+	list := c.known(now)
+	if len(list) == 0 {
+		return c.seeds
+	}
+	if len(list) > fullMesh {
+		list = c.pick(list, fanOut)
+	}
+	if len(c.seeds) > 0 && c.round%16 == 0 {
+		// Crowds that were apart meet again by their seeds.
+		seed := c.seeds[int(c.round/16)%len(c.seeds)]
+		if !slices.Contains(list, seed) {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// known returns the addresses of the peers heard within the last half minute,
+// in a fixed order.
+func (c *Crowd) known(now clock.Milli) []netip.AddrPort {
+	var list []netip.AddrPort
+	for a, p := range c.peers {
+		if now-p.heard <= forgetAfter/2 {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list
+}
+
+// pick returns n of a list, others in each round.
+func (c *Crowd) pick(list []netip.AddrPort, n int) []netip.AddrPort {
+	if len(list) <= n {
+		return list
+	}
+	picked := make([]netip.AddrPort, 0, n)
+	x := mix(c.seed+c.round, fleet.Code(c.round))
+	at, stride := int(x%uint64(len(list))), len(list)/n
+	for i := range n {
+		picked = append(picked, list[(at+i*stride)%len(list)])
+	}
+	return picked
+}
+
+// Neighbours returns some peers to tell others of, the freshest first.
+func (c *Crowd) Neighbours(now clock.Milli) []*Peer {
+	var list []*Peer
+	for _, a := range c.pick(c.known(now), tellNeighbours) {
+		if p := c.peers[a]; p.alive(now, len(c.peers)) {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(x, y *Peer) int { return cmp.Compare(y.heard, x.heard) })
+	return list
+}
+
+// Heard returns when a peer was last heard of.
+func (p *Peer) Heard() clock.Milli { return p.heard }
+
+// Forget drops peers that fell silent.
+func (c *Crowd) Forget(now clock.Milli) {
+	for a, p := range c.peers {
+		if now-p.heard > forgetAfter {
+			delete(c.peers, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/fresh/fresh.go
@@ -0,0 +1,213 @@
+// Package fresh decides when a daemon reads the platform's store, and how old
+// its knowledge may be.
+//
+// The model. Each topic is known up to a revision, confirmed by a read that
+// began some time ago, made here or told by a peer. One daemon, the first by
+// rank among those that live, reads for all; the ages spread between peers.
+// A daemon whose ages grow past its own limit reads for itself, and limits
+// grow with rank, so readers follow one another without an election, and
+// daemons that are cut off read on their own.
+//
+// One counter numbers all changes of the store, so an answer about one topic
+// that names no revision beyond what is known confirms all topics.
+//
+// Invariant: an age is never smaller than the time since the read began.
+package fresh
+
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+// Parts of the tightest bound of the deployment.
+const (
+	waitPart  = 6 // a read waits for news for a sixth of the bound
+	firstPart = 0.43
+	nextPart  = 0.1
+	maxRank   = 3
+)
+
+const (
+	// quickWait is the wait of a read that is to answer at once.
+	quickWait = 1 * clock.Milli(1)
+	// betweenReads is the least time between two reads.
+	betweenReads = 150 * clock.Milli(1)
+	firstBackoff = 100 * clock.Milli(1)
+	maxBackoff   = 800 * clock.Milli(1)
+)
+
+// Call is one read of the store.
+type Call struct {
+	Topic fleet.Topic
+	// List asks for all objects, else for the changes since Since, waiting so
+	// long for one.
+	List  bool
+	Since schema.Version
+	Wait  clock.Milli
+}
+
+// Outcome tells how a call ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Read Outcome = iota
+	// Lost means that the store has dropped the changes asked for.
+	Lost
+	// Failed means that no usable answer came.
+	Failed
+)
+
+// Reader is the state of one daemon's reading. It is not safe for concurrent
+// use.
+type Reader struct {
+	bound     clock.Milli
+	rank      int
+	revs      [fleet.Topics]schema.Version
+	confirmed [fleet.Topics]clock.Milli
+	relist    [fleet.Topics]bool
+	// newest is the highest revision that the store is known to have.
+	newest  schema.Version
+	busy    bool
+	last    clock.Milli
+	backoff clock.Milli
+	// jitter spreads the limits of daemons of equal rank.
+	jitter clock.Milli
+}
+
+// New returns the reader of a daemon. Bound is the tightest time within which
+// news must be in force; jitter differs between daemons.
+func New(bound clock.Milli, jitter uint64) *Reader {
+	r := &Reader{bound: bound, last: clock.Never, jitter: clock.Milli(jitter % 100)}
+	for t := range r.confirmed {
+		r.confirmed[t] = clock.Never
+	}
+	return r
+}
+
+// SetBound changes the tightest bound.
+func (r *Reader) SetBound(bound clock.Milli) { r.bound = bound }
+
+// SetRank sets the daemon's rank among those that live.
+func (r *Reader) SetRank(n int) { r.rank = n }
+
+// Age returns how long ago a topic was confirmed.
+func (r *Reader) Age(now clock.Milli, t fleet.Topic) clock.Milli { return now - r.confirmed[t] }
+
+// Oldest returns the greatest age of all topics.
+func (r *Reader) Oldest(now clock.Milli) clock.Milli {
+	oldest := clock.Milli(0)
+	for t := range r.confirmed {
+		oldest = max(oldest, now-r.confirmed[t])
+	}
+	return oldest
+}
+
+// Fresh reports whether a topic is confirmed recently enough to refuse by it.
+func (r *Reader) Fresh(now clock.Milli, t fleet.Topic) bool {
+	return now-r.confirmed[t] <= r.bound*2/3
+}
+
+// limit is the age at which this daemon reads for itself.
+func (r *Reader) limit() clock.Milli {
+	if r.rank == 0 {
+		return 0
+	}
+	first := float64(r.bound) * firstPart
+	step := float64(r.bound) * nextPart * float64(min(r.rank, maxRank)-1)
+	return clock.Milli(first+step) + r.jitter
+}
+
+// Next returns the read to make now, if any. Each must be answered by Done.
+func (r *Reader) Next(now clock.Milli) (Call, bool) {
+	if r.busy || now < r.last+r.backoff {
+		return Call{}, false
+	}
+	c, ok := r.next(now)
+	r.busy = ok
+	return c, ok
+}
+
+func (r *Reader) next(now clock.Milli) (Call, bool) {
+	for t := fleet.Topic(0); t < fleet.Topics; t++ {
+		if r.revs[t] == 0 || r.relist[t] {
+			return Call{Topic: t, List: true}, true
+		}
+	}
+	if r.Oldest(now) < r.limit() {
+		return Call{}, false
+	}
+	for t := fleet.Topic(0); t < fleet.Topics; t++ {
+		if t != fleet.Targets && r.revs[t] < r.newest {
+			return Call{Topic: t, Since: r.revs[t], Wait: quickWait}, true
+		}
+	}
+	if now-r.last < betweenReads {
+		return Call{}, false
+	}
+	wait := r.bound / waitPart
+	if r.rank != 0 {
+		wait = quickWait
+	}
+	return Call{Topic: fleet.Targets, Since: r.revs[fleet.Targets], Wait: wait}, true
+}
+
+// Done takes the end of a read that began at the given time. Rev is the
+// store's revision that it told.
+func (r *Reader) Done(now, began clock.Milli, c Call, o Outcome, rev schema.Version) {
+	r.busy = false
+	r.last = now
+	switch o {
+	case Failed:
+		r.backoff = min(maxBackoff, max(firstBackoff, 2*r.backoff))
+		return
+	case Lost:
+		r.relist[c.Topic] = true
+		r.backoff = 0
+		return
+	}
+	r.backoff = 0
+	if c.List {
+		r.relist[c.Topic] = false
+	}
+	r.Learn(c.Topic, rev, began)
+	r.newest = max(r.newest, rev)
+	for t := range r.revs {
+		if r.revs[t] >= rev {
+			r.confirmed[t] = max(r.confirmed[t], began)
+		}
+	}
+}
+
+// Learn notes that a topic is known up to a revision, which a read that began
+// at the given time showed to be complete.
+func (r *Reader) Learn(t fleet.Topic, rev schema.Version, began clock.Milli) {
+	if rev < r.revs[t] {
+		return
+	}
+	r.revs[t] = rev
+	r.confirmed[t] = max(r.confirmed[t], began)
+}
+
+// Heard takes a peer's word that the store's newest revision of a topic was
+// rev at the time that it was confirmed. It reports whether the peer knows
+// more.
+func (r *Reader) Heard(t fleet.Topic, rev schema.Version, confirmed clock.Milli) bool {
+	if rev > r.revs[t] {
+		r.newest = max(r.newest, rev)
+		return true
+	}
+	if rev == r.revs[t] {
+		r.confirmed[t] = max(r.confirmed[t], confirmed)
+	}
+	return false
+}
+
+// Paused forgets the ages after a pause of this process: what waited in its
+// queues is older than it says.
+func (r *Reader) Paused() {
+	for t := range r.confirmed {
+		r.confirmed[t] = clock.Never
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/decide.go
@@ -0,0 +1,187 @@
+package steer
+
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+)
+
+const (
+	// limbo is how long a target whose entry vanished without a word may
+	// still come back.
+	limbo = 2500 * clock.Milli(1)
+	// lastAnswers is how long after a target left its answers may still be
+	// on the way.
+	lastAnswers = 300 * clock.Milli(1)
+)
+
+// Decide returns what to do with a packet. Fresh tells whether the view of
+// the configuration is confirmed recently enough to refuse by it.
+func (c *Core) Decide(now clock.Milli, s *flow.Segment, fresh bool) Verdict {
+	if !c.Known() {
+		return Verdict{Action: Hold, Reason: NotReady}
+	}
+	if s.Open {
+		return c.open(now, s, fresh)
+	}
+	return c.established(now, s, fresh)
+}
+
+// open handles the first packet of a flow.
+func (c *Core) open(now clock.Milli, s *flow.Segment, fresh bool) Verdict {
+	k := serviceOf(&s.Tuple)
+	route := c.routes[k]
+	if route == nil {
+		if !fresh {
+			return Verdict{Reason: OldView}
+		}
+		return Verdict{Action: Reset, Reason: NoRoute, Changed: s.Copy == 0}
+	}
+	r := c.flows.records[s.Tuple]
+	if r != nil && r.first == s.Seq && !r.closed {
+		return c.openAgain(now, s, route, r)
+	}
+	t, why := c.choose(now, route, s, nil)
+	if t == nil {
+		return c.refuse(route, why, fresh)
+	}
+	return c.openOn(now, s, route, t, Opened)
+}
+
+// openAgain handles a copy of a flow's first packet. It follows the first
+// one, unless that target is believed not to answer.
+func (c *Core) openAgain(now clock.Milli, s *flow.Segment, route *Route, r *record) Verdict {
+	r.seen = now
+	t := r.target
+	if r.opened != 0 && !r.missed {
+		c.miss(now, r)
+	}
+	if r.opened == 0 || c.takes(now, t) && !t.answers.avoid(now) {
+		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
+	}
+	other, _ := c.choose(now, route, s, t)
+	if other == nil {
+		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
+	}
+	return c.openOn(now, s, route, other, CopyOfOpen)
+}
+
+func (c *Core) openOn(now clock.Milli, s *flow.Segment, route *Route, t *Target, why Reason) Verdict {
+	t.answers.try(now)
+	if r := c.flows.add(s.Tuple); r != nil {
+		r.target, r.route = t, route
+		r.seen, r.opened, r.first = now, now, s.Seq
+		c.flows.opening = append(c.flows.opening, opening{tuple: s.Tuple, opened: now})
+		t.load.flows++
+	}
+	return Verdict{Action: Deliver, Reason: why, Target: t, Route: route, Changed: true}
+}
+
+// refuse ends a flow that no target can take, if the view can be trusted.
+func (c *Core) refuse(route *Route, why Reason, fresh bool) Verdict {
+	if !fresh || why == ColdBudget {
+		return Verdict{Reason: why, Route: route}
+	}
+	return Verdict{Action: Reset, Reason: why, Route: route, Changed: true}
+}
+
+// established handles a packet of a flow that opened.
+func (c *Core) established(now clock.Milli, s *flow.Segment, fresh bool) Verdict {
+	t := c.byCookie(s)
+	if t == nil {
+		return Verdict{Reason: UnknownCookie, Changed: true}
+	}
+	k := serviceOf(&s.Tuple)
+	route := c.routes[k]
+	if _, dropped := c.removed[k]; dropped && route == nil && fresh && !s.Reset {
+		return Verdict{Action: Reset, Reason: RouteGone, Target: t, Changed: true}
+	}
+	r := c.follow(now, s, t, route)
+	if c.dead(now, t, r) && !s.Reset {
+		c.flows.remove(s.Tuple)
+		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, Changed: true}
+	}
+	return Verdict{Action: Deliver, Reason: ByCookie, Target: t, Route: route}
+}
+
+// byCookie returns the target that a packet names. Where a code names two,
+// the pool of the packet's route tells them apart.
+func (c *Core) byCookie(s *flow.Segment) *Target {
+	code := fleet.Code(s.Cookie)
+	two := c.doubled[code]
+	if len(two) == 0 {
+		return c.codes[code]
+	}
+	route := c.routes[serviceOf(&s.Tuple)]
+	if route == nil {
+		return nil
+	}
+	var found *Target
+	for _, t := range two {
+		for _, p := range route.pools {
+			if t.Pool == p.Name && !t.gone {
+				if found != nil {
+					return nil
+				}
+				found = t
+			}
+		}
+	}
+	return found
+}
+
+// follow updates what is remembered of the packet's flow.
+func (c *Core) follow(now clock.Milli, s *flow.Segment, t *Target, route *Route) *record {
+	r := c.flows.records[s.Tuple]
+	if r == nil || r.target != t {
+		if s.Close || s.Reset {
+			return nil
+		}
+		if r = c.flows.add(s.Tuple); r == nil {
+			return nil
+		}
+		// The flow was opened by another daemon.
+		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
+		t.load.flows++
+	}
+	wasBusy := r.asked != 0
+	answered, repeated := r.follow(now, s)
+	switch busy := r.asked != 0; {
+	case busy && !wasBusy:
+		t.load.busy++
+	case !busy && wasBusy:
+		t.load.busy = max(0, t.load.busy-1)
+	}
+	if answered {
+		t.answers.ok(now)
+	}
+	if repeated && !r.missed {
+		c.miss(now, r)
+	}
+	return r
+}
+
+// miss counts a flow against its target, once until it makes progress.
+func (c *Core) miss(now clock.Milli, r *record) {
+	r.missed = true
+	r.target.answers.miss(now)
+}
+
+// dead reports whether a flow's target is known to be gone, so that the flow
+// can't go on.
+func (c *Core) dead(now clock.Milli, t *Target, r *record) bool {
+	if !t.gone {
+		return false
+	}
+	if t.replaced {
+		return true
+	}
+	if r != nil && r.progress >= t.goneAt || t.answers.last > t.goneAt+lastAnswers {
+		return false // it answers: only its entry is gone
+	}
+	gone := now - t.goneAt
+	if t.drained && c.troubled < t.goneAt-limbo {
+		return gone > lastAnswers
+	}
+	return gone > limbo && now-c.troubled > limbo
+}
--- /dev/null
+++ b/internal/coordination/steer/load.go
@@ -0,0 +1,92 @@
+package steer
+
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+// load counts what flows ask of a target.
+type load struct {
+	// flows and busy count this daemon's active flows and the requests that
+	// wait for an answer; peers' are sums of what the peers told.
+	flows     int
+	busy      int
+	peerFlows int
+	peerBusy  int
+}
+
+const (
+	// flowShare is what an open flow weighs against a request at work.
+	flowShare = 0.1
+	// coldPenalty is added to the load of a target that is still cold.
+	coldPenalty = 0.25
+	// farPenalty is the load by which a target of another data centre must
+	// be freer than the best of this one.
+	farPenalty = 0.35
+	// blur breaks ties, so that daemons don't all choose the same target.
+	blur = 0.04
+	// loadsFor is how long a peer's loads count.
+	loadsFor = 1500 * clock.Milli(1)
+)
+
+// score returns how loaded a target is, one meaning that all slots work.
+func (t *Target) score() float64 {
+	work := float64(t.load.busy+t.load.peerBusy) + flowShare*float64(t.load.flows+t.load.peerFlows)
+	return work / float64(max(1, t.Slots))
+}
+
+// peerLoads is the last word of one peer.
+type peerLoads struct {
+	at    clock.Milli
+	loads []fleet.Load
+}
+
+// Loads returns what this daemon knows at first hand of the targets.
+func (c *Core) Loads(now clock.Milli) []fleet.Load {
+	var list []fleet.Load
+	for code, t := range c.codes {
+		silent := t.answers.silent()
+		if t.load.flows == 0 && !silent || t.gone {
+			continue
+		}
+		list = append(list, fleet.Load{
+			Code:   code,
+			Flows:  uint16(min(t.load.flows, 1<<16-1)),
+			Busy:   uint16(min(t.load.busy, 1<<16-1)),
+			Silent: silent,
+			Heard:  now - t.answers.last,
+		})
+	}
+	return list
+}
+
+// TakeLoads takes what a peer told.
+func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load) {
+	c.peers[from] = &peerLoads{at: now, loads: list}
+	for i := range list {
+		t := c.codes[list[i].Code]
+		if t != nil && list[i].Silent {
+			t.answers.told = now
+		}
+	}
+}
+
+// sumLoads adds up what the peers told lately.
+func (c *Core) sumLoads(now clock.Milli) {
+	for _, t := range c.codes {
+		t.load.peerFlows, t.load.peerBusy = 0, 0
+	}
+	for id, p := range c.peers {
+		if now-p.at > loadsFor {
+			delete(c.peers, id)
+			continue
+		}
+		for _, l := range p.loads {
+			if t := c.codes[l.Code]; t != nil {
+				t.load.peerFlows += int(l.Flows)
+				t.load.peerBusy += int(l.Busy)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/scan.go
@@ -0,0 +1,69 @@
+package steer
+
+import "coltsfootdock/internal/clock"
+
+// scanEvery is the time between two scans of all flows.
+const scanEvery = 250 * clock.Milli(1)
+
+// Tick advances time. It must be called many times a second.
+func (c *Core) Tick(now clock.Milli) {
+	c.overdue(now)
+	if now-c.lastScan < scanEvery {
+		return
+	}
+	c.lastScan = now
+	c.scan(now)
+	c.sumLoads(now)
+	c.book.Forget(now)
+}
+
+// overdue counts the first packets that were not answered in time against
+// their targets.
+func (c *Core) overdue(now clock.Milli) {
+	list := c.flows.opening
+	n := 0
+	for n < len(list) && now-list[n].opened >= answerIn {
+		r := c.flows.records[list[n].tuple]
+		if r != nil && r.opened == list[n].opened && !r.missed {
+			c.miss(now, r)
+		}
+		n++
+	}
+	if n > 0 {
+		c.flows.opening = append(list[:0], list[n:]...)
+	}
+}
+
+// scan forgets flows that ended or fell silent, counts each target's load
+// anew, and ends the idle flows of targets that are gone.
+func (c *Core) scan(now clock.Milli) {
+	for _, t := range c.codes {
+		t.load.flows, t.load.busy = 0, 0
+	}
+	for tuple, r := range c.flows.records {
+		silent := now - r.seen
+		switch {
+		case silent > idleFor, r.closed && silent > clock.Second, r.opened != 0 && silent > openFor:
+			c.flows.remove(tuple)
+			continue
+		case r.opened == 0 && !r.closed && c.dead(now, r.target, r):
+			c.resets = append(c.resets, Ended{Tuple: tuple, Ack: r.ack, Target: r.target})
+			c.flows.remove(tuple)
+			continue
+		}
+		if silent > activeFor || r.closed {
+			continue
+		}
+		r.target.load.flows++
+		if r.asked != 0 && now-r.asked < busyFor {
+			r.target.load.busy++
+		}
+	}
+}
+
+// Ended returns the flows to reset since the last call.
+func (c *Core) Ended() []Ended {
+	list := c.resets
+	c.resets = nil
+	return list
+}
--- /dev/null
+++ b/internal/entry/meters.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/transport/edge"
+)
+
+// meters are the metrics of one daemon.
+type meters struct {
+	set       *metrics.Set
+	verdicts  [steer.Actions][steer.Reasons]*metrics.Counter
+	opens     [fleet.Classes]*metrics.Counter
+	calls     [fleet.Topics]*metrics.Histogram
+	failed    *metrics.Counter
+	malformed *metrics.Counter
+	unsent    *metrics.Counter
+	badObject *metrics.Counter
+	peerBad   *metrics.Counter
+	peerSent  *metrics.Counter
+	ended     *metrics.Counter
+	omitted   *metrics.Counter
+}
+
+func newMeters(d *Daemon) *meters {
+	s := metrics.NewSet()
+	m := &meters{
+		set:       s,
+		failed:    s.NewCounter("coltsfootdock_store_failed_total"),
+		malformed: s.NewCounter("coltsfootdock_malformed_total"),
+		unsent:    s.NewCounter("coltsfootdock_unsent_total"),
+		badObject: s.NewCounter("coltsfootdock_bad_objects_total"),
+		peerBad:   s.NewCounter("coltsfootdock_peer_bad_total"),
+		peerSent:  s.NewCounter("coltsfootdock_peer_sent_bytes_total"),
+		ended:     s.NewCounter("coltsfootdock_idle_flows_ended_total"),
+		omitted:   s.NewCounter("coltsfootdock_log_lines_omitted_total"),
+	}
+	for a := range m.verdicts {
+		for r := range m.verdicts[a] {
+			m.verdicts[a][r] = s.NewCounter(fmt.Sprintf(`coltsfootdock_packets_total{action=%q,reason=%q}`, steer.Action(a), steer.Reason(r)))
+		}
+	}
+	for c := range m.opens {
+		m.opens[c] = s.NewCounter(fmt.Sprintf(`coltsfootdock_opens_total{class=%q}`, fleet.Class(c)))
+	}
+	for t := range m.calls {
+		m.calls[t] = s.NewHistogram(fmt.Sprintf(`coltsfootdock_store_call_seconds{topic=%q}`, fleet.Topic(t)))
+	}
+	gauge := func(name string, f func(now clock.Milli) float64) {
+		s.NewGauge(name, func() float64 {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return f(d.clock.Now())
+		})
+	}
+	gauge("coltsfootdock_view_age_seconds", func(now clock.Milli) float64 {
+		return float64(d.reader.Oldest(now)) / float64(clock.Second)
+	})
+	gauge("coltsfootdock_peers_alive", func(now clock.Milli) float64 { return float64(d.crowd.Alive(now)) })
+	gauge("coltsfootdock_flows", func(clock.Milli) float64 { return float64(d.core.Flows()) })
+	return m
+}
+
+func (m *meters) plane() edge.Counters {
+	return edge.Counters{Malformed: m.malformed.Inc, Unsent: m.unsent.Inc}
+}
+
+func (m *meters) verdict(v *steer.Verdict) {
+	m.verdicts[v.Action][v.Reason].Inc()
+	if v.Reason == steer.Opened && v.Route != nil {
+		m.opens[v.Route.Class].Inc()
+	}
+}
+
+func (m *meters) call(t fleet.Topic, err error, took clock.Milli) {
+	m.calls[t].Update(took.Duration().Seconds())
+	if err != nil {
+		m.failed.Inc()
+	}
+}
+
+func (m *meters) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/entry/reload.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"reflect"
+)
+
+// Reload reads the settings again and takes over what can change while the
+// daemon runs: bounds, seeds and limits. Why tells what asked for it. Settings
+// that can't be used change nothing.
+func (d *Daemon) Reload(why string) {
+	cfg, err := d.wire.Load()
+	if err != nil {
+		d.log.sampled("reload: by=%s: settings not taken: %s", why, err)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cfg.Metrics = d.cfg.Metrics
+	if reflect.DeepEqual(cfg, d.cfg) {
+		if why != "file" {
+			d.log.event("reload: by=%s: nothing changed", why)
+		}
+		return
+	}
+	if cfg.Data != d.cfg.Data || cfg.Ready != d.cfg.Ready || cfg.Peer != d.cfg.Peer || cfg.Store != d.cfg.Store || cfg.ID != d.cfg.ID {
+		d.log.event("reload: by=%s: ID and addresses stay until the next start", why)
+	}
+	cfg.Data, cfg.Ready, cfg.Peer, cfg.Store = d.cfg.Data, d.cfg.Ready, d.cfg.Peer, d.cfg.Store
+	cfg.ID, cfg.DataCentre = d.cfg.ID, d.cfg.DataCentre
+	d.cfg = cfg
+	d.reader.SetBound(tightest(cfg.Bounds))
+	d.crowd.SetSeeds(seedAddrs(cfg))
+	d.log.event("reload: by=%s: settings taken; bound=%dms seeds=%d", why, tightest(cfg.Bounds), len(cfg.Seeds))
+}
--- /dev/null
+++ b/internal/entry/talk.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/protocol/digest"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// tellEvery is the time between two summaries, tellSoon the least time
+	// when there is news.
+	tellEvery   = 250 * clock.Milli(1)
+	tellSoon    = 40 * clock.Milli(1)
+	pullTimeout = 600 * time.Millisecond
+	newsPath    = "/news"
+)
+
+// tell sends a summary to some peers, if it is time. The lock is held.
+func (d *Daemon) tell(now clock.Milli) {
+	since := now - d.lastTell
+	if since < tellSoon || !d.news && since < tellEvery {
+		return
+	}
+	d.lastTell, d.news = now, false
+	data, err := digest.Encode(d.summary(now))
+	if err != nil || len(data) > digest.MaxSize {
+		d.log.sampled("peers: summary of %d bytes not sent: %v", len(data), err)
+		return
+	}
+	for _, to := range d.crowd.Audience(now) {
+		if _, err := d.peers.WriteToUDPAddrPort(data, to); err == nil {
+			d.metrics.peerSent.Add(len(data))
+		}
+	}
+}
+
+func (d *Daemon) summary(now clock.Milli) *digest.Summary {
+	d.seq++
+	s := &digest.Summary{
+		ID:          d.cfg.ID,
+		DataCentre:  d.cfg.DataCentre,
+		Incarnation: d.incarnation,
+		Seq:         d.seq,
+		Leaving:     d.leaving,
+		Trouble:     -1,
+		Loads:       d.core.Loads(now),
+	}
+	for t := range s.Known {
+		topic := fleet.Topic(t)
+		s.Known[t] = digest.Known{Rev: d.core.Book().Rev(topic), Age: ageOf(d.reader.Age(now, topic))}
+	}
+	if d.troubled != clock.Never {
+		s.Trouble = now - d.troubled
+	}
+	for _, p := range d.crowd.Neighbours(now) {
+		s.Neighbours = append(s.Neighbours, digest.Neighbour{Addr: p.Addr, Silence: now - p.Heard()})
+	}
+	return s
+}
+
+// ageOf returns an age for the wire, -1 if there is none.
+func ageOf(age clock.Milli) clock.Milli {
+	if age > clock.Minute {
+		return -1
+	}
+	return age
+}
+
+// hear takes the summaries of peers.
+func (d *Daemon) hear(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = d.peers.Close() })
+	defer stop()
+	buf := make([]byte, digest.MaxSize)
+	for {
+		n, from, err := d.peers.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue // a passing error, such as an ICMP answer
+		}
+		s, err := digest.Decode[digest.Summary](buf[:n])
+		if err != nil {
+			d.metrics.peerBad.Inc()
+			d.log.sampled("peers: message from %s left out: %s", from, err)
+			continue
+		}
+		d.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), s)
+	}
+}
+
+// take handles a peer's summary.
+func (d *Daemon) take(from netip.AddrPort, s *digest.Summary) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if !d.crowd.Summary(now, from, s.ID, s.DataCentre, s.Incarnation, s.Seq, s.Leaving) {
+		return
+	}
+	for _, n := range s.Neighbours {
+		d.crowd.Neighbour(now-n.Silence, n.Addr)
+	}
+	if s.Trouble >= 0 {
+		d.core.Trouble(now - s.Trouble)
+	}
+	d.core.TakeLoads(now, s.ID, s.Loads)
+	behind := false
+	for t := range s.Known {
+		topic := fleet.Topic(t)
+		before := d.reader.Age(now, topic)
+		confirmed := clock.Never
+		if s.Known[t].Age >= 0 {
+			confirmed = now - s.Known[t].Age
+		}
+		behind = d.reader.Heard(topic, s.Known[t].Rev, confirmed) || behind
+		if before-d.reader.Age(now, topic) > tightest(d.cfg.Bounds)/8 {
+			d.news = true // tell the others soon
+		}
+	}
+	if behind {
+		select {
+		case d.pulls <- from:
+		default: // one is under way
+		}
+	}
+}
+
+// pullNews fetches from peers what they know and this daemon does not.
+func (d *Daemon) pullNews(ctx context.Context) error {
+	client := &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		MaxIdleConns:        8,
+		IdleConnTimeout:     10 * time.Second,
+	}}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case from := <-d.pulls:
+			if err := d.pullFrom(ctx, client, from); err != nil {
+				d.log.sampled("peers: news of %s not pulled: %s", from, err)
+			}
+		}
+	}
+}
+
+func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
+	d.mu.Lock()
+	revs := d.core.Book().Revs()
+	d.mu.Unlock()
+	url := "http://" + from.String() + newsPath + "?"
+	for t, rev := range revs {
+		url += fleet.Topic(t).String() + "=" + strconv.FormatUint(uint64(rev), 10) + "&"
+	}
+	began := d.clock.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	n, err := digest.Decode[digest.News](body)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for i := range n.Updates {
+		u := &n.Updates[i]
+		d.apply(now, u, from.String())
+		if u.Rev <= d.core.Book().Rev(u.Topic) && n.Ages[i] >= 0 {
+			d.reader.Learn(u.Topic, u.Rev, began-n.Ages[i])
+		} else {
+			d.reader.Learn(u.Topic, u.Rev, clock.Never)
+		}
+	}
+	return nil
+}
+
+// newsHandler serves what a peer lacks.
+func (d *Daemon) newsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+newsPath, func(w http.ResponseWriter, r *http.Request) {
+		var since [fleet.Topics]schema.Version
+		for t := range since {
+			v, err := strconv.ParseUint(r.URL.Query().Get(fleet.Topic(t).String()), 10, 64)
+			if err != nil {
+				http.Error(w, "revision of "+fleet.Topic(t).String()+" is not a number", http.StatusBadRequest)
+				return
+			}
+			since[t] = schema.Version(v)
+		}
+		body, err := digest.Encode(d.newsSince(since))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body) // a peer that went away asks again
+	})
+	return mux
+}
+
+func (d *Daemon) newsSince(since [fleet.Topics]schema.Version) *digest.News {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	n := &digest.News{}
+	for t := range since {
+		topic := fleet.Topic(t)
+		if d.core.Book().Rev(topic) <= since[t] {
+			continue
+		}
+		n.Updates = append(n.Updates, d.core.Book().Since(topic, since[t]))
+		n.Ages = append(n.Ages, ageOf(d.reader.Age(now, topic)))
+	}
+	return n
+}
