internal/coordination/steer, fresh: flows of targets that answer nobody end at once

Ruled out: waiting for the store, which removes entries after three heartbeats. Three misses with no answer since, two of them this daemon's own or told by two peers, mean that a target is dark; flows without a request at work, or whose requests may be repeated, are reset. A daemon that no target answers ends nothing and says not ready. Also: ranks of readers spread with the summaries, and daemons that join are greeted, as of 300 daemons 60 believed to be first for 5 s (TestOneReaderForAll).

--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -21,8 +21,16 @@
 	fullMesh = 10
 	// fanOut is the number of peers that get a summary in a larger crowd.
 	fanOut = 4
-	// tellNeighbours is the number of peers that a summary names.
-	tellNeighbours = 3
+	// tellFirst is the number of peers of the first ranks, tellOthers that of
+	// any others, that a summary names.
+	tellFirst  = 3
+	tellOthers = 2
+	// tellNew is the number that a summary names when it goes to a daemon
+	// that just joined, maxGreet how many of those it goes to; maxWaiting
+	// bounds those that wait for one.
+	tellNew    = 16
+	maxGreet   = 16
+	maxWaiting = 1024
 )
 
 // Peer is another daemon.
@@ -46,6 +54,8 @@
 	score uint64
 	peers map[netip.AddrPort]*Peer
 	seeds []netip.AddrPort
+	// greet lists the daemons that joined since the last summary.
+	greet []netip.AddrPort
 	round uint64
 	seed  uint64
 }
@@ -86,6 +96,9 @@
 	if p.incarnation == incarnation && seq <= p.seq {
 		return false
 	}
+	if p.incarnation != incarnation && len(c.greet) < maxWaiting {
+		c.greet = append(c.greet, from)
+	}
 	p.ID, p.DataCentre, p.incarnation, p.seq, p.leaving = id, dc, incarnation, seq, leaving
 	p.heard, p.direct = now, now
 	return true
@@ -153,25 +166,40 @@
 	return x ^ x>>29
 }
 
-// Audience returns whom the next summary goes to: all of a small crowd, else
-// a few that change from round to round, and the seeds while nobody is known.
-func (c *Crowd) Audience(now clock.Milli) []netip.AddrPort {
+// Audience returns whom the next summary goes to, and which peers it names:
+// all of a small crowd, else a few that change from round to round; daemons
+// that just joined; and the seeds while nobody is known.
+func (c *Crowd) Audience(now clock.Milli) ([]netip.AddrPort, []*Peer) {
 	c.round++
+	others := tellOthers
+	if len(c.greet) > 0 {
+		others = tellNew
+	}
+	named := c.neighbours(now, others)
 	list := c.known(now)
 	if len(list) == 0 {
-		return c.seeds
+		return c.seeds, named
 	}
 	if len(list) > fullMesh {
 		list = c.pick(list, fanOut)
 	}
 	if len(c.seeds) > 0 && c.round%16 == 0 {
 		// Crowds that were apart meet again by their seeds.
-		seed := c.seeds[int(c.round/16)%len(c.seeds)]
-		if !slices.Contains(list, seed) {
-			list = append(list, seed)
-		}
+		list = appendNew(list, c.seeds[int(c.round/16)%len(c.seeds)])
 	}
-	return list
+	n := min(len(c.greet), maxGreet)
+	for _, a := range c.greet[:n] {
+		list = appendNew(list, a)
+	}
+	c.greet = c.greet[n:]
+	return list, named
+}
+
+func appendNew(list []netip.AddrPort, a netip.AddrPort) []netip.AddrPort {
+	if slices.Contains(list, a) {
+		return list
+	}
+	return append(list, a)
 }
 
 // known returns the addresses of the peers heard within the last half minute,
@@ -201,15 +229,25 @@
 	return picked
 }
 
-// Neighbours returns some peers to tell others of, the freshest first.
-func (c *Crowd) Neighbours(now clock.Milli) []*Peer {
-	var list []*Peer
-	for _, a := range c.pick(c.known(now), tellNeighbours) {
-		if p := c.peers[a]; p.alive(now, len(c.peers)) {
-			list = append(list, p)
+// neighbours returns the peers to tell others of: those of the first ranks,
+// which every daemon must know to be alive, and some that change from round
+// to round.
+func (c *Crowd) neighbours(now clock.Milli, n int) []*Peer {
+	var alive []*Peer
+	for _, p := range c.peers {
+		if p.alive(now, len(c.peers)) {
+			alive = append(alive, p)
 		}
 	}
-	slices.SortFunc(list, func(x, y *Peer) int { return cmp.Compare(y.heard, x.heard) })
+	slices.SortFunc(alive, func(x, y *Peer) int { return cmp.Compare(x.score, y.score) })
+	if len(alive) <= tellFirst+n {
+		return alive
+	}
+	list := alive[:tellFirst:tellFirst]
+	others := alive[tellFirst:]
+	for i := range uint64(n) {
+		list = append(list, others[mix(c.seed+c.round+i, fleet.Code(c.round))%uint64(len(others))])
+	}
 	return list
 }
 
--- a/internal/coordination/fresh/fresh.go
+++ b/internal/coordination/fresh/fresh.go
@@ -26,6 +26,9 @@
 	firstPart = 0.43
 	nextPart  = 0.1
 	maxRank   = 3
+	// newsPart is the part of the bound by which an age must shrink to be
+	// worth telling at once.
+	newsPart = 8
 )
 
 const (
@@ -72,6 +75,8 @@
 	busy    bool
 	last    clock.Milli
 	backoff clock.Milli
+	// news is set when something was learned that peers should hear soon.
+	news bool
 	// jitter spreads the limits of daemons of equal rank.
 	jitter clock.Milli
 }
@@ -175,19 +180,36 @@
 	r.newest = max(r.newest, rev)
 	for t := range r.revs {
 		if r.revs[t] >= rev {
-			r.confirmed[t] = max(r.confirmed[t], began)
+			r.confirm(fleet.Topic(t), began)
 		}
 	}
 }
 
+// confirm notes that a topic was complete at the given time.
+func (r *Reader) confirm(t fleet.Topic, at clock.Milli) {
+	if at-r.confirmed[t] > r.bound/newsPart {
+		r.news = true
+	}
+	r.confirmed[t] = max(r.confirmed[t], at)
+}
+
+// News reports whether there is something since the last call that peers
+// should hear soon.
+func (r *Reader) News() bool {
+	n := r.news
+	r.news = false
+	return n
+}
+
 // Learn notes that a topic is known up to a revision, which a read that began
 // at the given time showed to be complete.
 func (r *Reader) Learn(t fleet.Topic, rev schema.Version, began clock.Milli) {
 	if rev < r.revs[t] {
 		return
 	}
+	r.news = r.news || rev > r.revs[t]
 	r.revs[t] = rev
-	r.confirmed[t] = max(r.confirmed[t], began)
+	r.confirm(t, began)
 }
 
 // Heard takes a peer's word that the store's newest revision of a topic was
@@ -199,7 +221,7 @@
 		return true
 	}
 	if rev == r.revs[t] {
-		r.confirmed[t] = max(r.confirmed[t], confirmed)
+		r.confirm(t, confirmed)
 	}
 	return false
 }
--- /dev/null
+++ b/internal/coordination/fresh/fresh_test.go
@@ -0,0 +1,297 @@
+package fresh
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	start = 100 * clock.Second
+	bound = 3 * clock.Second
+	step  = 50 * clock.Milli(1)
+)
+
+// store is a model of the platform's store.
+type store struct {
+	rev   schema.Version
+	calls int
+	// silent makes every read fail after its time limit, for the daemons
+	// named, or for all if the list is empty.
+	silent map[int]bool
+	down   bool
+	lost   bool
+}
+
+// daemon is a reader and its crowd in a model network.
+type daemon struct {
+	n      int
+	addr   netip.AddrPort
+	reader *Reader
+	crowd  *Crowd
+	seq    uint64
+	call   *Call
+	began  clock.Milli
+	ends   clock.Milli
+	dead   bool
+	cut    bool
+}
+
+type world struct {
+	now     clock.Milli
+	store   store
+	daemons []*daemon
+	at      map[netip.AddrPort]*daemon
+}
+
+func addr(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1))
+}
+
+func newWorld(n int) *world {
+	w := &world{now: start, at: map[netip.AddrPort]*daemon{}, store: store{rev: 10, silent: map[int]bool{}}}
+	for i := range n {
+		w.join(i)
+	}
+	return w
+}
+
+func (w *world) join(n int) *daemon {
+	d := &daemon{n: n, addr: addr(n), reader: New(bound, uint64(n*37)), crowd: NewCrowd(addr(n), []netip.AddrPort{addr(0), addr(1)}, uint64(n))}
+	w.daemons = append(w.daemons, d)
+	w.at[d.addr] = d
+	return d
+}
+
+func (w *world) run(d clock.Milli) {
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		for _, x := range w.daemons {
+			if !x.dead {
+				w.tick(x)
+			}
+		}
+	}
+}
+
+func (w *world) tick(d *daemon) {
+	d.crowd.Forget(w.now)
+	d.reader.SetRank(d.crowd.Rank(w.now))
+	if d.call != nil && w.now >= d.ends {
+		c := *d.call
+		d.call = nil
+		if w.store.down || w.store.silent[d.n] {
+			d.reader.Done(w.now, d.began, c, Failed, 0)
+		} else if w.store.lost && !c.List {
+			d.reader.Done(w.now, d.began, c, Lost, 0)
+		} else {
+			d.reader.Done(w.now, d.began, c, Read, w.store.rev)
+		}
+	}
+	if d.call == nil {
+		if c, ok := d.reader.Next(w.now); ok {
+			w.store.calls++
+			d.call, d.began, d.ends = &c, w.now, w.now+c.Wait+step
+			if w.store.down || w.store.silent[d.n] {
+				d.ends = w.now + c.Wait + 700
+			}
+		}
+	}
+	if d.reader.News() || (w.now/step)%5 == clock.Milli(d.n%5) {
+		w.tell(d)
+	}
+}
+
+// tell sends a summary; what a peer lacks it pulls at once.
+func (w *world) tell(d *daemon) {
+	if d.cut {
+		return
+	}
+	d.seq++
+	audience, named := d.crowd.Audience(w.now)
+	for _, to := range audience {
+		if x := w.at[to]; x != nil {
+			if x.dead || x.cut {
+				continue
+			}
+			if !x.crowd.Summary(w.now, d.addr, schema.VMID(fmt.Sprint(d.n)), "a", 1, d.seq, false) {
+				continue
+			}
+			for _, n := range named {
+				x.crowd.Neighbour(n.Heard(), n.Addr)
+			}
+			for t := range d.reader.revs {
+				topic := fleet.Topic(t)
+				if x.reader.Heard(topic, d.reader.revs[t], d.reader.confirmed[t]) {
+					x.reader.Learn(topic, d.reader.revs[t], d.reader.confirmed[t])
+				}
+			}
+		}
+	}
+}
+
+// oldest returns the greatest age among the daemons that live.
+func (w *world) oldest() clock.Milli {
+	age := clock.Milli(0)
+	for _, d := range w.daemons {
+		if !d.dead {
+			age = max(age, d.reader.Oldest(w.now))
+		}
+	}
+	return age
+}
+
+// Load: calls must not grow with the number of daemons, and ages stay below
+// the bound.
+func TestOneReaderForAll(t *testing.T) {
+	for _, n := range []int{7, 80, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newWorld(n)
+			w.run(8 * clock.Second)
+			w.store.calls = 0
+			worst := clock.Milli(0)
+			for range 40 {
+				w.run(250)
+				worst = max(worst, w.oldest())
+			}
+			require.Less(t, worst, bound*4/5)
+			require.LessOrEqual(t, w.store.calls, 10*6, "calls in 10 s")
+		})
+	}
+}
+
+// Load: the reader dies, and its successor, and the next.
+func TestReadersFollowOneAnother(t *testing.T) {
+	w := newWorld(7)
+	w.run(5 * clock.Second)
+	for range 5 {
+		for _, d := range w.daemons {
+			if !d.dead && d.crowd.Rank(w.now) == 0 {
+				d.dead = true
+			}
+		}
+		for range 20 {
+			w.run(250)
+			require.Less(t, w.oldest(), bound)
+		}
+	}
+}
+
+// Load: the store turns some daemons away, the reader among them, and serves
+// the others.
+func TestTurnedAwayDaemonsLearnFromPeers(t *testing.T) {
+	for first := range 7 {
+		w := newWorld(7)
+		w.run(5 * clock.Second)
+		for i := range 3 {
+			w.store.silent[(first+i)%7] = true
+		}
+		for range 40 {
+			w.run(250)
+			require.Less(t, w.oldest(), bound, "turned away: %d to %d", first, first+2)
+		}
+	}
+}
+
+// Load: a daemon is cut off from all peers, but not from the store.
+func TestDaemonWithoutPeersReadsForItself(t *testing.T) {
+	w := newWorld(7)
+	w.run(5 * clock.Second)
+	w.daemons[3].cut = true
+	for range 40 {
+		w.run(250)
+		require.Less(t, w.oldest(), bound)
+	}
+}
+
+// Load: the store drops its history.
+func TestLostHistoryIsListedAnew(t *testing.T) {
+	w := newWorld(3)
+	w.run(5 * clock.Second)
+	w.store.lost = true
+	w.store.rev += 5
+	w.run(2 * clock.Second)
+	for _, d := range w.daemons {
+		require.Equal(t, w.store.rev, d.reader.revs[fleet.Targets])
+	}
+	require.Less(t, w.oldest(), bound)
+}
+
+// Load: an outage ends; the store must not be stormed.
+func TestOutageEndsWithoutAStorm(t *testing.T) {
+	w := newWorld(80)
+	w.run(10 * clock.Second)
+	w.store.down = true
+	w.run(10 * clock.Second)
+	w.store.down = false
+	w.store.calls = 0
+	w.run(3 * clock.Second)
+	require.Less(t, w.oldest(), bound)
+	require.Less(t, w.store.calls, 80*5)
+}
+
+func TestAnswerConfirmsOnlyTopicsThatItCovers(t *testing.T) {
+	r := New(bound, 0)
+	r.Learn(fleet.Targets, 10, start)
+	r.Learn(fleet.Config, 8, start)
+	r.Learn(fleet.Outs, 10, start)
+	now := start + clock.Second
+	r.Done(now, now-10, Call{Topic: fleet.Targets, Since: 10}, Read, 10)
+	require.Equal(t, clock.Milli(10), r.Age(now, fleet.Targets))
+	require.Equal(t, clock.Milli(10), r.Age(now, fleet.Outs))
+	require.Equal(t, clock.Second, r.Age(now, fleet.Config), "the store moved on since configuration was read")
+	c, ok := r.Next(now)
+	require.True(t, ok)
+	require.Equal(t, Call{Topic: fleet.Config, Since: 8, Wait: quickWait}, c)
+}
+
+func TestPauseForgetsAges(t *testing.T) {
+	r := New(bound, 0)
+	for topic := range fleet.Topics {
+		r.Learn(topic, 10, start)
+	}
+	require.True(t, r.Fresh(start, fleet.Config))
+	r.Paused()
+	require.False(t, r.Fresh(start, fleet.Config))
+}
+
+func TestLateSummaryIsIgnored(t *testing.T) {
+	c := NewCrowd(addr(0), nil, 1)
+	require.True(t, c.Summary(start, addr(1), "x", "a", 1, 5, false))
+	require.False(t, c.Summary(start, addr(1), "x", "a", 1, 5, false), "a copy")
+	require.False(t, c.Summary(start, addr(1), "x", "a", 1, 4, false), "overtaken")
+	require.True(t, c.Summary(start, addr(1), "x", "a", 2, 1, false), "a new start counts anew")
+	require.False(t, c.Summary(start, addr(0), "me", "a", 1, 1, false), "its own")
+}
+
+// Load: all seeds are stale.
+func TestOneSharedSeedJoinsTwoCrowds(t *testing.T) {
+	w := newWorld(4)
+	w.run(3 * clock.Second)
+	late := w.join(50)
+	late.crowd.SetSeeds([]netip.AddrPort{addr(99), addr(2)})
+	w.run(5 * clock.Second)
+	for _, d := range w.daemons {
+		require.Equal(t, 4, d.crowd.Alive(w.now), "daemon %d", d.n)
+	}
+}
+
+func TestOneDaemonAdmitsATarget(t *testing.T) {
+	w := newWorld(12)
+	w.run(5 * clock.Second)
+	for code := fleet.Code(1); code < 50; code++ {
+		n := 0
+		for _, d := range w.daemons {
+			if d.crowd.Admits(w.now, code) {
+				n++
+			}
+		}
+		require.Equal(t, 1, n)
+	}
+}
--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -1,79 +1,254 @@
 package steer
 
-import "coltsfootdock/internal/clock"
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
 
 const (
 	// answerIn is how long a target has to answer a first packet before that
 	// counts against it.
 	answerIn = 120 * clock.Milli(1)
-	// missLimit is the number of flows without an answer, with none that had
-	// one in between, after which a target is avoided.
-	missLimit = 2
+	// repeatIn is the least time after which a client sends a packet again.
+	repeatIn = 150 * clock.Milli(1)
+	// avoidMisses is the number of flows without an answer, with none that
+	// had one since, after which a target is avoided; deadMisses and deadIn
+	// the number and the time after which it counts as dead.
+	avoidMisses = 2
+	deadMisses  = 3
+	deadIn      = 250 * clock.Milli(1)
+	// missFor is how long a miss counts.
+	missFor   = 3 * clock.Second
 	firstWait = 500 * clock.Milli(1)
 	maxWait   = 4 * clock.Second
-	// heardFor is how long a peer's word on a target counts.
-	heardFor = 1500 * clock.Milli(1)
+	// deafMisses and deafIn are the number of misses, and the time without an
+	// answer of any target, that mean that this daemon is cut off itself.
+	deafMisses = 4
+	deafIn     = 500 * clock.Milli(1)
 )
 
+// word is what peers tell of a target's answers.
+type word struct {
+	// tellers is the number of peers that miss answers, misses of how many
+	// flows, since when.
+	tellers int
+	misses  int
+	since   clock.Milli
+	// last is when a peer last had an answer.
+	last clock.Milli
+}
+
+// add takes one peer's word, told at the given time.
+func (w *word) add(told clock.Milli, l *fleet.Load) {
+	if l.Heard < missFor {
+		w.last = max(w.last, told-l.Heard)
+	}
+	if l.Missed == 0 {
+		return
+	}
+	since := told - l.Since
+	if w.tellers == 0 || since < w.since {
+		w.since = since
+	}
+	w.tellers++
+	w.misses += int(l.Missed)
+}
+
 // answers is the evidence on whether a target answers, from the packets that
-// pass. A target that does not is avoided for a while, then tried with one
+// pass: a first packet without a second one, or data sent again, counts as a
+// miss, as a target acknowledges both at once, however busy it is.
+//
+// A target that does not answer is avoided for a while, then tried with one
 // flow; the wait doubles.
 type answers struct {
 	// last is when a flow last showed an answer.
 	last clock.Milli
-	// misses counts the flows without an answer since then.
+	// misses counts the flows without an answer since then, since is when the
+	// first of their packets was sent, missed when the last was noted.
 	misses int
-	first  clock.Milli
+	since  clock.Milli
+	missed clock.Milli
 	until  clock.Milli
 	wait   clock.Milli
 	// trial is when a flow was sent to find out, zero if none was.
 	trial clock.Milli
-	// told is when a peer last told that the target does not answer.
-	told clock.Milli
+	peers word
 }
 
 // ok notes an answer.
 func (a *answers) ok(now clock.Milli) {
-	*a = answers{last: now}
+	*a = answers{last: now, peers: a.peers}
 }
 
-// miss notes a flow without an answer and reports whether the target is to be
-// avoided from now on.
-func (a *answers) miss(now clock.Milli) bool {
-	if a.misses == 0 {
-		a.first = now
+// miss notes a flow whose packet, sent at the given time, had no answer.
+func (a *answers) miss(now, sent clock.Milli) {
+	if a.last > sent {
+		return // the target answered others since
+	}
+	if a.misses == 0 || sent < a.since {
+		a.since = sent
 	}
 	a.misses++
+	a.missed = now
 	a.trial = 0
-	if a.misses < missLimit {
-		return false
+	if a.silent() && now >= a.until {
+		a.wait = min(maxWait, max(firstWait, 2*a.wait))
+		a.until = now + a.wait
+	}
+}
+
+// silent reports whether flows say that the target does not answer. After a
+// first wait one more miss is enough.
+func (a *answers) silent() bool {
+	if a.wait > 0 || a.misses >= avoidMisses {
+		return true
 	}
-	if now < a.until {
+	w := &a.peers
+	if w.tellers == 0 || max(a.last, w.last) > w.since {
 		return false
 	}
-	a.wait = min(maxWait, max(firstWait, 2*a.wait))
-	a.until = now + a.wait
-	return true
+	return a.misses+w.tellers >= avoidMisses
 }
 
-// silent reports whether this daemon's own flows say that the target does not
-// answer.
-func (a *answers) silent() bool { return a.misses >= missLimit }
-
 // avoid reports whether new flows should go elsewhere.
 func (a *answers) avoid(now clock.Milli) bool {
-	if a.told != 0 && now-a.told < heardFor && a.last <= a.told-heardFor/3 {
-		return true
-	}
 	if !a.silent() {
 		return false
 	}
-	return now < a.until || a.trial != 0 && now-a.trial < 2*answerIn
+	return a.wait == 0 || now < a.until || a.trial != 0 && now-a.trial < 2*answerIn
 }
 
 // try notes that a flow is sent to a target that was avoided until now.
 func (a *answers) try(now clock.Milli) {
-	if a.silent() {
+	if a.wait > 0 {
 		a.trial = now
 	}
 }
+
+// expire drops misses that are too old to tell anything.
+func (a *answers) expire(now clock.Milli) {
+	if a.misses > 0 && now-a.missed > missFor {
+		a.misses = 0
+	}
+}
+
+// evidence adds up what is known of one or several targets' answers.
+type evidence struct {
+	own     int
+	tellers int
+	misses  int
+	since   clock.Milli
+	last    clock.Milli
+	targets int
+}
+
+func (e *evidence) add(a *answers) {
+	e.last = max(e.last, a.last, a.peers.last)
+	if a.misses+a.peers.misses == 0 {
+		return
+	}
+	e.targets++
+	earliest := func(t clock.Milli) {
+		if e.own+e.tellers == 0 || t < e.since {
+			e.since = t
+		}
+	}
+	if a.misses > 0 {
+		earliest(a.since)
+		e.own += a.misses
+	}
+	if a.peers.misses > 0 {
+		earliest(a.peers.since)
+		e.tellers = max(e.tellers, a.peers.tellers)
+		e.misses += a.peers.misses
+	}
+}
+
+// dead reports whether the evidence shows that nothing answers. It takes
+// misses of this daemon's own, and others of its own or of two peers: a peer
+// that is cut off itself must not condemn what it can't reach.
+func (e *evidence) dead(now clock.Milli) bool {
+	if e.own == 0 || e.last > e.since || now-e.since < deadIn {
+		return false
+	}
+	return e.own+e.misses >= deadMisses && (e.own >= avoidMisses || e.tellers >= 2)
+}
+
+// silent reports whether the evidence holds a miss and no answer since. That
+// is enough to condemn one target of a data centre that is dark, and no less:
+// a target there that is merely idle may live.
+func (e *evidence) silent(now clock.Milli) bool {
+	return e.own+e.misses > 0 && e.last <= e.since && now-e.since >= deadIn
+}
+
+// judge decides which data centres answer nobody.
+func (c *Core) judge(now clock.Milli) {
+	clear(c.darkDCs)
+	all := make(map[schema.DataCentreID]*evidence)
+	for _, t := range c.codes {
+		t.answers.expire(now)
+		if t.gone {
+			continue
+		}
+		e := all[t.DataCentre]
+		if e == nil {
+			e = &evidence{}
+			all[t.DataCentre] = e
+		}
+		e.add(&t.answers)
+	}
+	for dc, e := range all {
+		if e.targets >= 2 && e.dead(now) {
+			c.darkDCs[dc] = true
+		}
+	}
+}
+
+// dark reports whether traffic shows that a target answers nobody. A daemon that hears no target at all can't tell.
+func (c *Core) dark(now clock.Milli, t *Target) bool {
+	if t.gone || c.Deaf(now) {
+		return false
+	}
+	var e evidence
+	e.add(&t.answers)
+	return e.dead(now) || c.darkDCs[t.DataCentre] && e.silent(now)
+}
+
+// avoids reports whether new flows should not go to a target.
+func (c *Core) avoids(now clock.Milli, t *Target) bool {
+	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 {
+		return true
+	}
+	return t.answers.avoid(now)
+}
+
+// Deaf reports whether no target answers this daemon, which is then more
+// likely cut off itself.
+func (c *Core) Deaf(now clock.Milli) bool {
+	return c.missedAll >= deafMisses && now-c.answered > deafIn && now-c.missedAt < missFor
+}
+
+// answer notes an answer of a target.
+func (c *Core) answer(now clock.Milli, t *Target) {
+	t.answers.ok(now)
+	c.answered, c.missedAll = now, 0
+}
+
+// miss counts a flow whose packet was sent at the given time against its
+// target, once until it makes progress.
+func (c *Core) miss(now clock.Milli, r *record, sent clock.Milli) {
+	r.missed = true
+	r.target.answers.miss(now, sent)
+	c.missedAll++
+	c.missedAt = now
+	c.alarm = true
+}
+
+// Alarm reports whether there was a miss since the last call, which peers
+// should hear of soon.
+func (c *Core) Alarm() bool {
+	a := c.alarm
+	c.alarm = false
+	return a
+}
--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -74,7 +74,7 @@
 			score += coldPenalty
 		}
 		switch {
-		case t.answers.avoid(now):
+		case c.avoids(now, t):
 			silent.offer(t, float64(now-t.answers.last))
 		case t.DataCentre == c.home:
 			near.offer(t, score)
--- /dev/null
+++ b/internal/coordination/steer/dark_test.go
@@ -0,0 +1,175 @@
+package steer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+// endedOn returns the flows ended since the last call, by target.
+func (b *bed) endedOn() map[schema.TargetID]int {
+	n := make(map[schema.TargetID]int)
+	for _, e := range b.core.Ended() {
+		n[e.Target.ID]++
+	}
+	return n
+}
+
+// silence has flows of targets send requests that nobody answers, and send
+// them again.
+func (b *bed) silence(ids ...schema.TargetID) {
+	var waiting []*client
+	for _, id := range ids {
+		for range 3 {
+			c := b.on(again, id)
+			waiting = append(waiting, c)
+		}
+	}
+	for _, c := range waiting {
+		c.request()
+	}
+	b.run(225)
+	for _, c := range waiting {
+		c.repeat()
+	}
+	b.run(100)
+}
+
+// Load: targets go dark with flows on them; the clients would wait for their
+// whole time limit.
+func TestFlowsOfDarkTargetEndAtOnce(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"), target(3, "a"))
+	idle := b.on(desk, "i-000001")
+	asking := b.on(desk, "i-000001")
+	b.on(again, "i-000002").request()
+	asking.request()
+	b.silence("i-000001")
+	ended := b.core.Ended()
+	tuples := make(map[flow.Tuple]Reason)
+	for _, e := range ended {
+		require.Equal(t, schema.TargetID("i-000001"), e.Target.ID)
+		tuples[e.Tuple] = e.Reason
+	}
+	require.Equal(t, TargetDark, tuples[idle.tuple], "an idle flow ends, so that its next request opens another")
+	require.NotContains(t, tuples, asking.tuple, "a request that runs once at most may still be answered")
+	require.GreaterOrEqual(t, len(tuples), 4)
+}
+
+// Load: one target of a data centre without power lives on, and is idle.
+// Found by day trouble-3 of lin-crest: a flow was reset while its target
+// served.
+func TestIdleTargetOfDarkDataCentreKeepsItsFlows(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "c"), target(3, "c"), target(4, "c"))
+	b.put(func() fleet.Target { x := target(1, "a"); x.Draining = true; return x }())
+	b.on(desk, "i-000004")
+	b.run(clock.Second)
+	b.silence("i-000002", "i-000003")
+	ended := b.endedOn()
+	require.Positive(t, ended["i-000002"])
+	require.Positive(t, ended["i-000003"])
+	require.Zero(t, ended["i-000004"], "no flow of it was left without an answer")
+}
+
+// Load: a busy target works on each request for longer than clients wait
+// before they repeat a lost packet. It acknowledges, so nothing is repeated.
+func TestSlowTargetIsNotDark(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	for range 5 {
+		b.on(again, "i-000001").request()
+	}
+	b.run(3 * clock.Second)
+	require.Empty(t, b.core.Ended())
+}
+
+// Load: packets of a request overtake each other.
+func TestOvertakenPacketIsNoMiss(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	for range 5 {
+		c := b.on(again, "i-000001")
+		c.seq += 1200
+		c.send(flow.Segment{Len: 300})
+		c.seq -= 1200
+		c.send(flow.Segment{Len: 1200})
+	}
+	require.False(t, b.core.Alarm())
+	b.run(clock.Second)
+	require.Empty(t, b.core.Ended())
+}
+
+// Load: this daemon is cut off from everything; its targets live.
+func TestDeafDaemonEndsNothing(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"), target(3, "b"))
+	var all []*client
+	for _, id := range []schema.TargetID{"i-000001", "i-000002"} {
+		for range 3 {
+			all = append(all, b.on(again, id))
+		}
+	}
+	b.run(clock.Second)
+	for _, c := range all {
+		c.request()
+	}
+	b.run(225)
+	for _, c := range all {
+		c.repeat()
+	}
+	b.run(400)
+	require.True(t, b.core.Deaf(b.now))
+	require.Empty(t, b.core.Ended())
+}
+
+// Load: a peer that is cut off tells that targets are silent; here they are
+// only idle.
+func TestPeerAloneCondemnsNothing(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	idle := b.on(desk, "i-000001")
+	b.on(desk, "i-000002")
+	b.run(2 * clock.Second)
+	for range 20 {
+		b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: idle.target.Code, Flows: 9, Missed: 9, Since: 600, Heard: 5000}})
+		b.run(100)
+	}
+	require.Empty(t, b.core.Ended())
+}
+
+// Load: a target crashes; each first packet is answered with a reset that the
+// daemon does not see.
+func TestCrashedTargetGetsNoMoreFlows(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	lost := 0
+	for range 100 {
+		c := b.open(again)
+		if c.target.ID == "i-000001" {
+			lost++
+		} else {
+			c.accepted()
+		}
+		b.run(25)
+	}
+	require.LessOrEqual(t, lost, 10)
+}
+
+// Load: the first packet's target is dark; its copy must go elsewhere.
+func TestCopyLeavesDarkTarget(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	var waiting []*client
+	for len(waiting) < 3 {
+		c := b.open(again)
+		if c.target.ID == "i-000001" {
+			waiting = append(waiting, c)
+		} else {
+			c.accepted()
+		}
+	}
+	b.run(200)
+	for _, c := range waiting {
+		v := c.copy(1)
+		require.Equal(t, Deliver, v.Action)
+		require.Equal(t, schema.TargetID("i-000002"), v.Target.ID)
+	}
+}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -53,10 +53,10 @@
 func (c *Core) openAgain(now clock.Milli, s *flow.Segment, route *Route, r *record) Verdict {
 	r.seen = now
 	t := r.target
-	if r.opened != 0 && !r.missed {
-		c.miss(now, r)
+	if r.opened != 0 && !r.missed && now-r.opened >= answerIn {
+		c.miss(now, r, r.opened)
 	}
-	if r.opened == 0 || c.takes(now, t) && !t.answers.avoid(now) {
+	if r.opened == 0 || c.takes(now, t) && !c.avoids(now, t) {
 		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
 	}
 	other, _ := c.choose(now, route, s, t)
@@ -97,10 +97,17 @@
 		return Verdict{Action: Reset, Reason: RouteGone, Target: t, Changed: true}
 	}
 	r := c.follow(now, s, t, route)
-	if c.dead(now, t, r) && !s.Reset {
+	if s.Reset {
+		return Verdict{Action: Deliver, Reason: ByCookie, Target: t, Route: route}
+	}
+	if c.dead(now, t, r) {
 		c.flows.remove(s.Tuple)
 		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, Changed: true}
 	}
+	if r != nil && c.givesUp(r) && c.dark(now, t) {
+		c.flows.remove(s.Tuple)
+		return Verdict{Action: Reset, Reason: TargetDark, Target: t, Route: route, Changed: true}
+	}
 	return Verdict{Action: Deliver, Reason: ByCookie, Target: t, Route: route}
 }
 
@@ -145,6 +152,7 @@
 		t.load.flows++
 	}
 	wasBusy := r.asked != 0
+	sent := r.sent
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
@@ -153,18 +161,21 @@
 		t.load.busy = max(0, t.load.busy-1)
 	}
 	if answered {
-		t.answers.ok(now)
+		c.answer(now, t)
 	}
 	if repeated && !r.missed {
-		c.miss(now, r)
+		c.miss(now, r, sent)
 	}
 	return r
 }
 
-// miss counts a flow against its target, once until it makes progress.
-func (c *Core) miss(now clock.Milli, r *record) {
-	r.missed = true
-	r.target.answers.miss(now)
+// givesUp reports whether a flow may be ended because its target is dark: one
+// whose requests may be repeated, or one that waits for no answer.
+func (c *Core) givesUp(r *record) bool {
+	if r.opened != 0 || r.closed {
+		return false
+	}
+	return r.asked == 0 || r.route != nil && r.route.Class != fleet.Once
 }
 
 // dead reports whether a flow's target is known to be gone, so that the flow
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -32,12 +32,12 @@
 	first uint32
 	next  uint32
 	ack   uint32
+	// sent is when the client last sent new data.
+	sent clock.Milli
 	// progress is when the client last acknowledged something new.
 	progress clock.Milli
-	// repeats counts the packets sent again since the last progress.
-	repeats uint8
-	missed  bool
-	closed  bool
+	missed   bool
+	closed   bool
 }
 
 // flowTable is a bounded set of records.
@@ -102,19 +102,17 @@
 		r.ack = s.Ack
 	}
 	if answered {
-		r.asked, r.progress, r.repeats, r.missed = 0, now, 0, false
+		r.asked, r.progress, r.missed = 0, now, false
 	}
 	if s.Len > 0 {
-		if after(end, r.next) {
-			r.next = end
+		switch {
+		case after(end, r.next):
+			r.next, r.sent = end, now
 			if r.asked == 0 {
 				r.asked = now
 			}
-		} else if !answered {
-			repeated = true
-			if r.repeats < 255 {
-				r.repeats++
-			}
+		case !answered && now-r.sent >= repeatIn:
+			repeated = true // earlier it is one that was overtaken
 		}
 	}
 	if s.Close || s.Reset {
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -1,6 +1,9 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -46,46 +49,46 @@
 func (c *Core) Loads(now clock.Milli) []fleet.Load {
 	var list []fleet.Load
 	for code, t := range c.codes {
-		silent := t.answers.silent()
-		if t.load.flows == 0 && !silent || t.gone {
+		if t.load.flows == 0 && t.answers.misses == 0 || t.gone {
 			continue
 		}
 		list = append(list, fleet.Load{
 			Code:   code,
 			Flows:  uint16(min(t.load.flows, 1<<16-1)),
 			Busy:   uint16(min(t.load.busy, 1<<16-1)),
-			Silent: silent,
+			Missed: uint16(min(t.answers.misses, 1<<16-1)),
+			Since:  now - t.answers.since,
 			Heard:  now - t.answers.last,
 		})
 	}
+	slices.SortFunc(list, func(x, y fleet.Load) int { return cmp.Compare(x.Code, y.Code) })
 	return list
 }
 
 // TakeLoads takes what a peer told.
 func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load) {
 	c.peers[from] = &peerLoads{at: now, loads: list}
-	for i := range list {
-		t := c.codes[list[i].Code]
-		if t != nil && list[i].Silent {
-			t.answers.told = now
-		}
-	}
+	c.dirty = true
 }
 
 // sumLoads adds up what the peers told lately.
 func (c *Core) sumLoads(now clock.Milli) {
+	c.dirty = false
 	for _, t := range c.codes {
 		t.load.peerFlows, t.load.peerBusy = 0, 0
+		t.answers.peers = word{}
 	}
 	for id, p := range c.peers {
 		if now-p.at > loadsFor {
 			delete(c.peers, id)
 			continue
 		}
-		for _, l := range p.loads {
+		for i := range p.loads {
+			l := &p.loads[i]
 			if t := c.codes[l.Code]; t != nil {
 				t.load.peerFlows += int(l.Flows)
 				t.load.peerBusy += int(l.Busy)
+				t.answers.peers.add(p.at, l)
 			}
 		}
 	}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -8,6 +8,11 @@
 // Tick advances time. It must be called many times a second.
 func (c *Core) Tick(now clock.Milli) {
 	c.overdue(now)
+	if c.dirty {
+		c.sumLoads(now)
+	}
+	c.judge(now)
+	c.endDark(now)
 	if now-c.lastScan < scanEvery {
 		return
 	}
@@ -25,7 +30,7 @@
 	for n < len(list) && now-list[n].opened >= answerIn {
 		r := c.flows.records[list[n].tuple]
 		if r != nil && r.opened == list[n].opened && !r.missed {
-			c.miss(now, r)
+			c.miss(now, r, r.opened)
 		}
 		n++
 	}
@@ -47,7 +52,7 @@
 			c.flows.remove(tuple)
 			continue
 		case r.opened == 0 && !r.closed && c.dead(now, r.target, r):
-			c.resets = append(c.resets, Ended{Tuple: tuple, Ack: r.ack, Target: r.target})
+			c.resets = append(c.resets, Ended{Tuple: tuple, Ack: r.ack, Target: r.target, Reason: TargetGone})
 			c.flows.remove(tuple)
 			continue
 		}
@@ -67,3 +72,26 @@
 	c.resets = nil
 	return list
 }
+
+// endDark ends the flows of targets that answer nobody, but for those that
+// wait for an answer to what may run only once.
+func (c *Core) endDark(now clock.Milli) {
+	if c.missedAll == 0 && len(c.darkDCs) == 0 {
+		return
+	}
+	dark := make(map[*Target]bool)
+	for _, t := range c.codes {
+		if c.dark(now, t) {
+			dark[t] = true
+		}
+	}
+	if len(dark) == 0 {
+		return
+	}
+	for tuple, r := range c.flows.records {
+		if dark[r.target] && c.givesUp(r) {
+			c.resets = append(c.resets, Ended{Tuple: tuple, Ack: r.ack, Target: r.target, Reason: TargetDark})
+			c.flows.remove(tuple)
+		}
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -13,8 +13,9 @@
 //   - A packet goes only to the start of the target that its cookie names.
 //   - A first packet goes only to a target of a pool that the route names,
 //     that is neither draining nor gone nor in a data centre that is out.
-//   - A flow is reset only if its target is known to be gone, never for want
-//     of knowledge.
+//   - A flow is reset only if its target is known to be gone, or the traffic
+//     of several flows shows that it answers nobody; never for want of
+//     knowledge.
 package steer
 
 import (
@@ -60,6 +61,7 @@
 	NoTarget
 	UnknownCookie
 	TargetGone
+	TargetDark
 	RouteGone
 	NotReady
 	OldView
@@ -69,7 +71,7 @@
 
 var reasonNames = [Reasons]string{
 	"by_cookie", "opened", "copy_of_open", "no_route", "no_target", "unknown_cookie",
-	"target_gone", "route_gone", "not_ready", "old_view", "cold_budget",
+	"target_gone", "target_dark", "route_gone", "not_ready", "old_view", "cold_budget",
 }
 
 // String implements fmt.Stringer.
@@ -144,6 +146,16 @@
 	troubled clock.Milli
 	lastScan clock.Milli
 	resets   []Ended
+	// darkDCs are the data centres whose targets answer nobody.
+	darkDCs map[schema.DataCentreID]bool
+	// answered is when any target last answered, missedAll counts the misses
+	// since, missedAt is the time of the last.
+	answered  clock.Milli
+	missedAll int
+	missedAt  clock.Milli
+	alarm     bool
+	// dirty is set if peers told loads that are not added up yet.
+	dirty bool
 }
 
 // Ended is a flow that is to be reset although none of its packets came.
@@ -151,6 +163,7 @@
 	Tuple  flow.Tuple
 	Ack    uint32
 	Target *Target
+	Reason Reason
 }
 
 // New returns the core of a daemon in a data centre. Seed starts its random
@@ -170,6 +183,9 @@
 		admitter: func(fleet.Code) bool { return true },
 		troubled: clock.Never,
 		lastScan: clock.Never,
+		darkDCs:  make(map[schema.DataCentreID]bool),
+		answered: clock.Never,
+		missedAt: clock.Never,
 	}
 }
 
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/fresh"
 	"coltsfootdock/internal/protocol/digest"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -32,19 +33,20 @@
 		return
 	}
 	d.lastTell, d.news = now, false
-	data, err := digest.Encode(d.summary(now))
+	audience, named := d.crowd.Audience(now)
+	data, err := digest.Encode(d.summary(now, named))
 	if err != nil || len(data) > digest.MaxSize {
 		d.log.sampled("peers: summary of %d bytes not sent: %v", len(data), err)
 		return
 	}
-	for _, to := range d.crowd.Audience(now) {
+	for _, to := range audience {
 		if _, err := d.peers.WriteToUDPAddrPort(data, to); err == nil {
 			d.metrics.peerSent.Add(len(data))
 		}
 	}
 }
 
-func (d *Daemon) summary(now clock.Milli) *digest.Summary {
+func (d *Daemon) summary(now clock.Milli, named []*fresh.Peer) *digest.Summary {
 	d.seq++
 	s := &digest.Summary{
 		ID:          d.cfg.ID,
@@ -62,7 +64,7 @@
 	if d.troubled != clock.Never {
 		s.Trouble = now - d.troubled
 	}
-	for _, p := range d.crowd.Neighbours(now) {
+	for _, p := range named {
 		s.Neighbours = append(s.Neighbours, digest.Neighbour{Addr: p.Addr, Silence: now - p.Heard()})
 	}
 	return s
@@ -117,15 +119,11 @@
 	behind := false
 	for t := range s.Known {
 		topic := fleet.Topic(t)
-		before := d.reader.Age(now, topic)
 		confirmed := clock.Never
 		if s.Known[t].Age >= 0 {
 			confirmed = now - s.Known[t].Age
 		}
 		behind = d.reader.Heard(topic, s.Known[t].Rev, confirmed) || behind
-		if before-d.reader.Age(now, topic) > tightest(d.cfg.Bounds)/8 {
-			d.news = true // tell the others soon
-		}
 	}
 	if behind {
 		select {
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -51,12 +51,14 @@
 	for _, e := range d.core.Ended() {
 		d.plane.Reset(&e.Tuple, e.Ack)
 		d.metrics.ended.Inc()
-		d.log.sampled("flow: client=%s service=%s target=%s action=reset reason=target_gone while=idle",
-			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID)
+		d.log.sampled("flow: client=%s service=%s target=%s action=reset reason=%s while=silent",
+			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
 	}
 	d.crowd.Forget(now)
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(now, code) }, d.crowd.Alive(now)+1)
 	d.reader.SetRank(d.crowd.Rank(now))
+	alarm, news := d.core.Alarm(), d.reader.News()
+	d.news = d.news || alarm || news
 	d.tell(now)
 	if c, ok := d.reader.Next(now); ok {
 		d.calls <- c // the ring is empty while no call is under way
@@ -67,7 +69,9 @@
 	}
 }
 
-func (d *Daemon) isReady() bool { return d.core.Known() && !d.leaving }
+func (d *Daemon) isReady() bool {
+	return d.core.Known() && !d.leaving && !d.core.Deaf(d.lastTick)
+}
 
 // readyHandler tells the platform whether to send packets.
 func (d *Daemon) readyHandler() http.Handler {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -172,9 +172,12 @@
 	Code  Code
 	Flows uint16
 	Busy  uint16
-	// Silent is set if the target does not answer this daemon's flows.
-	Silent bool
-	// Heard is how long ago the target last answered one, in milliseconds.
+	// Missed counts the sender's flows that the target left unanswered since
+	// it last answered one, Since is how long ago the first of their packets
+	// was sent, in milliseconds.
+	Missed uint16
+	Since  clock.Milli
+	// Heard is how long ago the target last answered a flow, in milliseconds.
 	Heard clock.Milli
 }
 
