internal/coordination/steer: later misses count, one daemon tries a dark target

Ruled out: expiry of misses, resets lost. Change: the times of the last eight packets without an answer are kept, and those before the last answer anywhere don't count; a peer's likewise. Each daemon tried a dark target for itself, at 200 ms for a client each time; now its admitter tries and the others follow its word. An answer of any target put off the end of a dark one's flows until the next miss (found by the test).

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -21,7 +21,12 @@
 	// missFor is how long a miss counts.
 	missFor   = 3 * clock.Second
 	firstWait = 500 * clock.Milli(1)
-	maxWait   = 4 * clock.Second
+	// followerWait is how long a daemon that does not try for all waits at
+	// the most.
+	followerWait = 8 * clock.Second
+	// keepMisses is the number of misses of a target that are remembered.
+	keepMisses = 8
+	maxWait    = 4 * clock.Second
 	// deafMisses and deafIn are the number of misses, and the time without an
 	// answer of any target, that mean that this daemon is cut off itself.
 	deafMisses = 4
@@ -39,15 +44,22 @@
 	last clock.Milli
 }
 
-// add takes one peer's word, told at the given time.
-func (w *word) add(told clock.Milli, l *fleet.Load) {
+// heard takes from a peer's word, told at the given time, when it had an
+// answer.
+func (w *word) heard(told clock.Milli, l *fleet.Load) {
 	if l.Heard < missFor {
 		w.last = max(w.last, told-l.Heard)
 	}
-	if l.Missed == 0 {
+}
+
+// told takes a peer's misses. Those before an answer that anyone had since
+// say nothing.
+func (a *answers) told(told clock.Milli, l *fleet.Load) {
+	since := told - l.Since
+	if l.Missed == 0 || since <= a.heard() {
 		return
 	}
-	since := told - l.Since
+	w := &a.peers
 	if w.tellers == 0 || since < w.since {
 		w.since = since
 	}
@@ -60,14 +72,15 @@
 // miss, as a target acknowledges both at once, however busy it is.
 //
 // A target that does not answer is avoided for a while, then tried with one
-// flow; the wait doubles.
+// flow; the wait doubles. One daemon, the target's admitter, tries for all;
+// the others follow when they hear that the target answered.
 type answers struct {
 	// last is when a flow last showed an answer.
 	last clock.Milli
-	// misses counts the flows without an answer since then, since is when the
-	// first of their packets was sent, missed when the last was noted.
-	misses int
-	since  clock.Milli
+	// sent are the times of the packets without an answer, the n latest.
+	sent [keepMisses]clock.Milli
+	n    int
+	// missed is when the last miss was noted.
 	missed clock.Milli
 	until  clock.Milli
 	wait   clock.Milli
@@ -76,6 +89,9 @@
 	peers word
 }
 
+// heard returns when anyone last had an answer.
+func (a *answers) heard() clock.Milli { return max(a.last, a.peers.last) }
+
 // ok notes an answer.
 func (a *answers) ok(now clock.Milli) {
 	*a = answers{last: now, peers: a.peers}
@@ -86,10 +102,8 @@
 	if a.last > sent {
 		return // the target answered others since
 	}
-	if a.misses == 0 || sent < a.since {
-		a.since = sent
-	}
-	a.misses++
+	a.sent[a.n%keepMisses] = sent
+	a.n++
 	a.missed = now
 	a.trial = 0
 	if a.silent() && now >= a.until {
@@ -98,25 +112,41 @@
 	}
 }
 
-// silent reports whether flows say that the target does not answer. After a
-// first wait one more miss is enough.
-func (a *answers) silent() bool {
-	if a.wait > 0 || a.misses >= avoidMisses {
-		return true
-	}
-	w := &a.peers
-	if w.tellers == 0 || max(a.last, w.last) > w.since {
-		return false
+// after returns the number of misses whose packets were sent after a time,
+// and when the first of those was.
+func (a *answers) after(t clock.Milli) (n int, since clock.Milli) {
+	for _, sent := range a.sent[:min(a.n, keepMisses)] {
+		if sent < t {
+			continue
+		}
+		if n == 0 || sent < since {
+			since = sent
+		}
+		n++
 	}
-	return a.misses+w.tellers >= avoidMisses
+	return n, since
+}
+
+// silent reports whether flows say that the target does not answer, to this
+// daemon or to all. After a first wait one more miss is enough.
+func (a *answers) silent() bool {
+	own, _ := a.after(a.last)
+	return a.wait > 0 || own >= avoidMisses || own+a.peers.tellers >= avoidMisses
 }
 
-// avoid reports whether new flows should go elsewhere.
-func (a *answers) avoid(now clock.Milli) bool {
+// avoid reports whether new flows should go elsewhere. Tries tells whether
+// this daemon is the one that tries for all.
+func (a *answers) avoid(now clock.Milli, tries bool) bool {
 	if !a.silent() {
 		return false
 	}
-	return a.wait == 0 || now < a.until || a.trial != 0 && now-a.trial < 2*answerIn
+	if a.wait == 0 || a.trial != 0 && now-a.trial < 2*answerIn {
+		return true
+	}
+	if a.peers.last > a.missed {
+		return false // a peer had an answer since
+	}
+	return now < a.until || !tries && now-a.missed < followerWait
 }
 
 // try notes that a flow is sent to a target that was avoided until now.
@@ -128,8 +158,8 @@
 
 // expire drops misses that are too old to tell anything.
 func (a *answers) expire(now clock.Milli) {
-	if a.misses > 0 && now-a.missed > missFor {
-		a.misses = 0
+	if a.n > 0 && now-a.missed > missFor {
+		a.n = 0
 	}
 }
 
@@ -144,8 +174,9 @@
 }
 
 func (e *evidence) add(a *answers) {
-	e.last = max(e.last, a.last, a.peers.last)
-	if a.misses+a.peers.misses == 0 {
+	e.last = max(e.last, a.heard())
+	own, since := a.after(a.heard())
+	if own+a.peers.misses == 0 {
 		return
 	}
 	e.targets++
@@ -154,9 +185,9 @@
 			e.since = t
 		}
 	}
-	if a.misses > 0 {
-		earliest(a.since)
-		e.own += a.misses
+	if own > 0 {
+		earliest(since)
+		e.own += own
 	}
 	if a.peers.misses > 0 {
 		earliest(a.peers.since)
@@ -182,12 +213,22 @@
 	return e.own+e.misses > 0 && e.last <= e.since && now-e.since >= deadIn
 }
 
-// judge decides which data centres answer nobody.
+// judge finds the targets that may be dark, and decides which data centres
+// answer nobody.
 func (c *Core) judge(now clock.Milli) {
 	clear(c.darkDCs)
-	all := make(map[schema.DataCentreID]*evidence)
+	c.suspects = c.suspects[:0]
 	for _, t := range c.codes {
 		t.answers.expire(now)
+		if !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0) {
+			c.suspects = append(c.suspects, t)
+		}
+	}
+	if len(c.suspects) == 0 {
+		return
+	}
+	all := make(map[schema.DataCentreID]*evidence)
+	for _, t := range c.codes {
 		if t.gone {
 			continue
 		}
@@ -220,7 +261,7 @@
 	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 {
 		return true
 	}
-	return t.answers.avoid(now)
+	return t.answers.avoid(now, c.admitter(t.Code))
 }
 
 // Deaf reports whether no target answers this daemon, which is then more
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -173,3 +173,69 @@
 		require.Equal(t, schema.TargetID("i-000002"), v.Target.ID)
 	}
 }
+
+// Load: a target goes dark just after it answered another daemon; the first
+// packet without an answer is older than that. Found by day targets-dark:
+// flows waited for their time limit though 20 misses followed.
+func TestMissBeforeLastAnswerHidesNoLaterOnes(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	lives := b.on(again, "i-000002")
+	var waiting []*client
+	for range 4 {
+		waiting = append(waiting, b.on(again, "i-000001"))
+	}
+	b.run(clock.Second)
+	waiting[0].request()
+	b.run(25)
+	heard := b.now
+	b.run(25)
+	for _, c := range waiting[1:] {
+		c.request()
+	}
+	b.run(225)
+	ended := 0
+	for _, c := range waiting {
+		if c.repeat().Action == Reset {
+			ended++
+		}
+	}
+	lives.request()
+	lives.answered()
+	b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: waiting[0].target.Code, Flows: 3, Heard: b.now - heard}})
+	b.run(100)
+	require.Equal(t, 4, ended+b.endedOn()["i-000001"])
+}
+
+// Load: a dark target is tried again; only one daemon should try it, and the
+// others follow its word.
+func TestOneDaemonTriesDarkTarget(t *testing.T) {
+	for _, admits := range []bool{true, false} {
+		b := newBed(t, target(1, "a"), target(2, "a"))
+		b.core.SetAdmitter(func(fleet.Code) bool { return admits }, 7)
+		b.silence("i-000001")
+		dark := b.core.codes[target1Code()]
+		tried := 0
+		for range 120 {
+			if c := b.open(again); c.target == dark {
+				tried++
+			} else {
+				c.accepted()
+			}
+			b.run(25)
+		}
+		if admits {
+			require.Positive(t, tried)
+			require.LessOrEqual(t, tried, 4)
+			continue
+		}
+		require.Zero(t, tried)
+		b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: dark.Code, Flows: 1, Heard: 10}})
+		b.run(25)
+		b.on(again, "i-000001")
+	}
+}
+
+func target1Code() fleet.Code {
+	t := target(1, "a")
+	return t.Code()
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -49,15 +49,16 @@
 func (c *Core) Loads(now clock.Milli) []fleet.Load {
 	var list []fleet.Load
 	for code, t := range c.codes {
-		if t.load.flows == 0 && t.answers.misses == 0 || t.gone {
+		missed, since := t.answers.after(t.answers.heard())
+		if t.load.flows == 0 && missed == 0 && now-t.answers.last > missFor || t.gone {
 			continue
 		}
 		list = append(list, fleet.Load{
 			Code:   code,
 			Flows:  uint16(min(t.load.flows, 1<<16-1)),
 			Busy:   uint16(min(t.load.busy, 1<<16-1)),
-			Missed: uint16(min(t.answers.misses, 1<<16-1)),
-			Since:  now - t.answers.since,
+			Missed: uint16(missed),
+			Since:  now - since,
 			Heard:  now - t.answers.last,
 		})
 	}
@@ -78,17 +79,24 @@
 		t.load.peerFlows, t.load.peerBusy = 0, 0
 		t.answers.peers = word{}
 	}
+	c.eachLoad(now, func(p *peerLoads, l *fleet.Load, t *Target) {
+		t.load.peerFlows += int(l.Flows)
+		t.load.peerBusy += int(l.Busy)
+		t.answers.peers.heard(p.at, l)
+	})
+	c.eachLoad(now, func(p *peerLoads, l *fleet.Load, t *Target) { t.answers.told(p.at, l) })
+}
+
+// eachLoad calls f for all that the peers told lately.
+func (c *Core) eachLoad(now clock.Milli, f func(p *peerLoads, l *fleet.Load, t *Target)) {
 	for id, p := range c.peers {
 		if now-p.at > loadsFor {
 			delete(c.peers, id)
 			continue
 		}
 		for i := range p.loads {
-			l := &p.loads[i]
-			if t := c.codes[l.Code]; t != nil {
-				t.load.peerFlows += int(l.Flows)
-				t.load.peerBusy += int(l.Busy)
-				t.answers.peers.add(p.at, l)
+			if t := c.codes[p.loads[i].Code]; t != nil {
+				f(p, &p.loads[i], t)
 			}
 		}
 	}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -76,11 +76,8 @@
 // endDark ends the flows of targets that answer nobody, but for those that
 // wait for an answer to what may run only once.
 func (c *Core) endDark(now clock.Milli) {
-	if c.missedAll == 0 && len(c.darkDCs) == 0 {
-		return
-	}
 	dark := make(map[*Target]bool)
-	for _, t := range c.codes {
+	for _, t := range c.suspects {
 		if c.dark(now, t) {
 			dark[t] = true
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -146,6 +146,8 @@
 	troubled clock.Milli
 	lastScan clock.Milli
 	resets   []Ended
+	// suspects are the targets that left packets without an answer.
+	suspects []*Target
 	// darkDCs are the data centres whose targets answer nobody.
 	darkDCs map[schema.DataCentreID]bool
 	// answered is when any target last answered, missedAll counts the misses
