platform, internal/protocol/object, internal/standin/plat: one client of the store, in the users' protocol

Cause: two clients and two protocols of the platform stood side by side, so the tests of the first daemon proved nothing of the store that users run. A full list after lost history removes what it lacks.

--- a/cmd/coltsfootdock/cmd/entry.go
+++ b/cmd/coltsfootdock/cmd/entry.go
@@ -12,9 +12,7 @@
 
 	"coltsfootdock/internal/entry"
 	"coltsfootdock/internal/setup"
-	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/transport/edge"
-	"coltsfootdock/pkg/schema"
 	"coltsfootdock/platform"
 )
 
@@ -85,18 +83,6 @@
 			Reset:     platform.Reset,
 			Client:    platform.ClientAddress,
 		},
-		Store: entry.Store{
-			List:    platform.ListPath,
-			Changes: platform.ChangesPath,
-			DecodeList: func(t fleet.Topic, body []byte) (entry.Page, error) {
-				p, err := platform.DecodeList(t, body)
-				return entry.Page(p), err
-			},
-			DecodeChanges: func(t fleet.Topic, since schema.Version, body []byte) (entry.Page, error) {
-				p, err := platform.DecodeChanges(t, since, body)
-				return entry.Page(p), err
-			},
-		},
 		ReadyPath: platform.ReadyPath,
 		Load:      load,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,11 +21,11 @@
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/fresh"
 	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/protocol/object"
 	"coltsfootdock/internal/setup"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
 	"coltsfootdock/internal/transport/edge"
-	"coltsfootdock/pkg/schema"
 )
 
 const (
@@ -36,28 +36,9 @@
 	stopTimeout = time.Second
 )
 
-// Store reads the platform's store.
-type Store struct {
-	// List and Changes return the paths of the calls.
-	List    func(t fleet.Topic, after string) string
-	Changes func(t fleet.Topic, since schema.Version, wait clock.Milli) string
-	// DecodeList and DecodeChanges read the answers.
-	DecodeList    func(t fleet.Topic, body []byte) (Page, error)
-	DecodeChanges func(t fleet.Topic, since schema.Version, body []byte) (Page, error)
-}
-
-// Page is one answer of the store. Next is the name to go on after, empty on
-// the last page; Bad lists objects that could not be read.
-type Page struct {
-	Update fleet.Update
-	Next   string
-	Bad    []error
-}
-
 // Wire is the platform's side of the daemon.
 type Wire struct {
 	Packets edge.Wire
-	Store   Store
 	// ReadyPath is where the platform asks whether the daemon takes packets.
 	ReadyPath string
 	// Load reads the settings again.
@@ -89,16 +70,16 @@
 	lastPacket  clock.Milli
 	wasReady    bool
 
-	plane  *edge.Plane
-	peers  *net.UDPConn
-	ready  net.Listener
-	pull   net.Listener
-	gauge  net.Listener
-	calls  chan fresh.Call
-	pulls  chan netip.AddrPort
-	leave  chan struct{}
-	once   sync.Once
-	caller *caller
+	plane *edge.Plane
+	peers *net.UDPConn
+	ready net.Listener
+	pull  net.Listener
+	gauge net.Listener
+	calls chan fresh.Call
+	pulls chan netip.AddrPort
+	leave chan struct{}
+	once  sync.Once
+	store *object.Client
 }
 
 // New opens the sockets of a daemon. It runs once Serve is called.
@@ -118,7 +99,7 @@
 		calls:       make(chan fresh.Call, 1),
 		pulls:       make(chan netip.AddrPort, 1),
 		leave:       make(chan struct{}),
-		caller:      newCaller(cfg.Store),
+		store:       object.NewClient("http://"+cfg.Store.String(), object.WithTimeout(callTimeout)),
 	}
 	d.metrics = newMeters(d)
 	d.log = newLines(log, string(cfg.ID), d.metrics)
@@ -185,7 +166,7 @@
 			closing(l.Close())
 		}
 	}
-	d.caller.close()
+	d.store.Close()
 	d.log.close()
 	return err
 }
--- a/internal/entry/reads.go
+++ b/internal/entry/reads.go
@@ -2,75 +2,19 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
-	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/fresh"
+	"coltsfootdock/internal/protocol/object"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
 )
 
-var (
-	namespace = errorx.NewNamespace("entry")
-	// unavailable is the type of calls without a usable answer.
-	unavailable = namespace.NewType("unavailable")
-	// compacted is the type of answers that the changes are no longer kept.
-	compacted = namespace.NewType("compacted")
-)
-
-const (
-	// callTimeout is what a call may take beyond the time it waits.
-	callTimeout = 700 * time.Millisecond
-	maxAnswer   = 8 << 20
-	maxPages    = 1000
-)
-
-// caller makes HTTP calls to the store.
-type caller struct {
-	base string
-	http *http.Client
-}
-
-func newCaller(store netip.AddrPort) *caller {
-	return &caller{base: "http://" + store.String(), http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
-	}}}
-}
-
-func (c *caller) close() { c.http.CloseIdleConnections() }
-
-// get returns the body of a successful answer.
-func (c *caller) get(ctx context.Context, path string, wait clock.Milli) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait.Duration())
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return nil, unavailable.Wrap(err, "call %s", path)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, unavailable.Wrap(err, "call %s", path)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	switch {
-	case err != nil:
-		return nil, unavailable.Wrap(err, "answer to %s broke off", path)
-	case resp.StatusCode == http.StatusGone:
-		return nil, compacted.New("%s: changes are no longer kept", path)
-	case resp.StatusCode != http.StatusOK:
-		return nil, unavailable.New("%s: status %s", path, strconv.Itoa(resp.StatusCode))
-	}
-	return body, nil
-}
+// callTimeout is what a call may take beyond the time it waits.
+const callTimeout = 700 * time.Millisecond
 
 // reads makes the calls that the reader asks for.
 func (d *Daemon) reads(ctx context.Context) error {
@@ -105,7 +49,7 @@
 	case err == nil:
 		rev = u.Rev
 		d.apply(now, u, "store")
-	case errorx.IsOfType(err, compacted):
+	case errorx.IsOfType(err, object.Compacted):
 		outcome = fresh.Lost
 		d.log.event("store: %s", err)
 	default:
@@ -121,38 +65,15 @@
 
 // read makes one call, with all pages of a list.
 func (d *Daemon) read(ctx context.Context, c fresh.Call) (*fleet.Update, error) {
-	if !c.List {
-		body, err := d.caller.get(ctx, d.wire.Store.Changes(c.Topic, c.Since, c.Wait), c.Wait)
-		if err != nil {
-			return nil, err
-		}
-		p, err := d.wire.Store.DecodeChanges(c.Topic, c.Since, body)
-		d.bad(p.Bad)
-		return &p.Update, err
-	}
-	var all *fleet.Update
-	after := ""
-	for range maxPages {
-		body, err := d.caller.get(ctx, d.wire.Store.List(c.Topic, after), 0)
-		if err != nil {
-			return nil, err
-		}
-		p, err := d.wire.Store.DecodeList(c.Topic, body)
-		if err != nil {
-			return nil, err
-		}
-		d.bad(p.Bad)
-		if all == nil {
-			all = &p.Update // later pages may be newer; changes since the first bring them in line
-		} else {
-			all.Targets = append(all.Targets, p.Update.Targets...)
-			all.Outs = append(all.Outs, p.Update.Outs...)
-		}
-		if after = p.Next; after == "" {
-			return all, nil
-		}
+	var f object.Facts
+	var err error
+	if c.List {
+		f, err = d.store.AllFacts(ctx, c.Topic)
+	} else {
+		f, err = d.store.NewFacts(ctx, c.Topic, c.Since, c.Wait)
 	}
-	return nil, errors.New("list has too many pages")
+	d.bad(f.Bad)
+	return &f.Update, err
 }
 
 // bad logs objects that could not be read.
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -24,6 +24,7 @@
 	tellSoon    = 40 * clock.Milli(1)
 	pullTimeout = 600 * time.Millisecond
 	newsPath    = "/news"
+	maxNews     = 8 << 20
 )
 
 // tell sends a summary to some peers, if it is time. The lock is held.
@@ -171,7 +172,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxNews))
 	if err != nil {
 		return err
 	}
--- a/internal/protocol/object/object.go
+++ b/internal/protocol/object/object.go
@@ -1,5 +1,5 @@
-// Package object holds the form of objects in the platform's object API and
-// the client of that API.
+// Package object holds the system's objects in the platform's store and the
+// client of that store, the only one.
 //
 // The platform keeps objects by kind and name. One revision counter covers
 // the whole store; an object's version is the revision of its last write. A
@@ -39,6 +39,9 @@
 // List is the answer to a read: the objects changed since the revision that
 // was asked for, and the store's revision.
 type List struct {
+	// Full is set if the list holds all objects, so that those which it lacks
+	// were removed.
+	Full     bool `json:",omitempty"`
 	Revision schema.Version
 	Objects  []Object
 }
--- a/internal/state/view/store.go
+++ b/internal/state/view/store.go
@@ -47,17 +47,38 @@
 	}
 	var changed []object.ID
 	for _, o := range l.Objects {
-		if o.Version <= s.objects[o.ID()].Version {
+		if old := s.objects[o.ID()]; o.Version < old.Version || o.Version == old.Version && o.Deleted == old.Deleted {
 			continue
 		}
 		s.objects[o.ID()] = o
 		delete(s.decoded, o.ID())
 		changed = append(changed, o.ID())
 	}
+	if l.Full {
+		changed = append(changed, s.sweep(l)...)
+	}
 	s.revision = l.Revision
 	return changed, true
 }
 
+// sweep marks the objects that a full list lacks as removed.
+func (s *Store) sweep(l object.List) []object.ID {
+	listed := make(map[object.ID]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		listed[o.ID()] = true
+	}
+	var removed []object.ID
+	for id, o := range s.objects {
+		if !listed[id] && !o.Deleted && o.Version <= l.Revision {
+			o.Deleted, o.Version, o.Data = true, l.Revision, nil
+			s.objects[id] = o
+			delete(s.decoded, id)
+			removed = append(removed, id)
+		}
+	}
+	return removed
+}
+
 // Since returns the objects changed after a revision, oldest first.
 func (s *Store) Since(rev schema.Version) object.List {
 	l := object.List{Revision: s.revision}
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 
 	"github.com/joomcode/errorx"
 )
@@ -46,6 +47,9 @@
 	PerSecond float64
 )
 
+// String implements fmt.Stringer.
+func (v Version) String() string { return strconv.FormatUint(uint64(v), 10) }
+
 // Protocols of a route.
 const (
 	TCP  Protocol = "tcp"
