internal/standin/soak, cmd/standin/cmd: a fault soak with real processes

Change: standin soak runs daemons as processes on loopback against stand-ins that speak the users' packet and store forms, lets 16 kinds of fault strike from a seed, and checks open flows, pools, at most once, refused means not run, leaving targets, data centres out, configuration, whole answers and service again. Not covered: cuts between daemons, steps of clocks.

--- a/cmd/standin/cmd/root.go
+++ b/cmd/standin/cmd/root.go
@@ -24,7 +24,7 @@
 	root := &ffcli.Command{
 		ShortUsage:  "standin <subcommand> [flags]",
 		FlagSet:     flag.NewFlagSet("standin", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{demoCommand(out), platformCommand(out), fabricCommand(out), targetCommand(out), clientCommand(out)},
+		Subcommands: []*ffcli.Command{demoCommand(out), platformCommand(out), fabricCommand(out), targetCommand(out), clientCommand(out), soakCommand(out)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.Parse(args); err != nil {
--- /dev/null
+++ b/internal/standin/soak/faults.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"coltsfootdock/internal/standin/plat"
+)
+
+// faultKind is a fault: it strikes and returns how it is healed.
+type faultKind struct {
+	name string
+	run  func(s *System) (heal func())
+}
+
+// kinds are the faults, in a fixed order.
+var kinds = []faultKind{
+	{"daemon killed", func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.stop(syscall.SIGKILL)
+		return func() { s.restart(d); done() }
+	}},
+	{"all daemons killed", func(s *System) func() {
+		var heals []func()
+		for _, d := range s.daemons {
+			done := d.calm.disturb()
+			d.signal(syscall.SIGKILL)
+			heals = append(heals, func() { <-d.ended; s.restart(d); done() })
+		}
+		return func() {
+			for _, h := range heals {
+				h()
+			}
+		}
+	}},
+	{"daemon stopped", func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.stop(syscall.SIGTERM)
+		return func() { s.restart(d); done() }
+	}},
+	{"daemon paused", func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.signal(syscall.SIGSTOP)
+		return func() { d.signal(syscall.SIGCONT); done() }
+	}},
+	{"settings read again", func(s *System) func() {
+		s.pickDaemon().signal(syscall.SIGHUP)
+		return func() {}
+	}},
+	{"packets to a daemon lost", func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.mu.Lock()
+		d.loss = []float64{0.05, 0.3, 1}[s.rand()%3]
+		d.mu.Unlock()
+		return func() {
+			d.mu.Lock()
+			d.loss = 0
+			d.mu.Unlock()
+			done()
+		}
+	}},
+	{"daemon turned away by the store", func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.store.away.Store(true)
+		return func() { d.store.away.Store(false); done() }
+	}},
+	{"store down", storeFault(plat.Fault{Down: true}, true)},
+	{"store silent", storeFault(plat.Fault{Silent: true}, true)},
+	{"store slow", storeFault(plat.Fault{DelayMilliseconds: 400}, false)},
+	{"store forgets", func(s *System) func() {
+		done := s.judge.store.disturb()
+		s.store.Compact()
+		return done
+	}},
+	{"target dark", func(s *System) func() {
+		t := s.pickTarget()
+		done := t.calm.disturb()
+		t.setDark(true)
+		return func() { t.setDark(false); t.beat(); done() }
+	}},
+	{"target crashes", func(s *System) func() {
+		t := s.pickTarget()
+		done := t.calm.disturb()
+		t.restart()
+		return done
+	}},
+	{"target replaced", func(s *System) func() {
+		s.mu.Lock()
+		n := len(s.targets)
+		s.mu.Unlock()
+		if n < 200 && s.addTarget(n) == nil {
+			s.pickTarget().leave()
+		}
+		return func() {}
+	}},
+	{"route added and removed", func(s *System) func() {
+		s.mu.Lock()
+		n := len(s.routes)
+		r := &route{name: fmt.Sprintf("extra-%d", n), pool: "desk", addr: netip.MustParseAddrPort(fmt.Sprintf("198.18.0.2:%d", 9000+n))}
+		s.routes = append(s.routes, r)
+		s.mu.Unlock()
+		s.writeTable()
+		return func() {
+			r.mu.Lock()
+			r.off = time.Now()
+			r.mu.Unlock()
+			s.writeTable()
+		}
+	}},
+	{"data centre out", func(s *System) func() {
+		z := s.zones[s.rand()%3]
+		if !z.outSince().IsZero() {
+			return func() {}
+		}
+		s.store.Put(outsKind, z.name, struct{}{})
+		z.setOut(time.Now())
+		return func() {
+			z.setOut(time.Time{})
+			s.store.Drop(outsKind, z.name)
+		}
+	}},
+}
+
+// storeFault is a fault of the whole store. Targets write no heartbeats while
+// it is down.
+func storeFault(f plat.Fault, down bool) func(*System) func() {
+	return func(s *System) func() {
+		done := s.judge.store.disturb()
+		s.down.Store(down)
+		s.store.SetFault(f)
+		return func() {
+			s.store.SetFault(plat.Fault{})
+			s.down.Store(false)
+			for _, t := range s.alive() {
+				t.beat()
+			}
+			done()
+		}
+	}
+}
+
+func (s *System) restart(d *daemon) {
+	if err := s.start(d); err != nil {
+		s.judge.mu.Lock()
+		s.judge.fail("soak", "daemon %s does not start: %s", d.id, err)
+		s.judge.mu.Unlock()
+	}
+}
+
+func (s *System) pickDaemon() *daemon { return s.daemons[s.rand()%uint64(len(s.daemons))] }
+
+// alive returns the targets that stay.
+func (s *System) alive() []*target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*target
+	for _, t := range s.targets {
+		if t.leaving().IsZero() {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+func (s *System) pickTarget() *target {
+	list := s.alive()
+	return list[s.rand()%uint64(len(list))]
+}
+
+// strike lets faults strike, one after another and overlapping, until the
+// time is over, and heals them all.
+func (s *System) strike() {
+	end := time.Now().Add(s.opts.For)
+	type open struct {
+		at   time.Time
+		heal func()
+	}
+	running := make(map[string]open)
+	for time.Now().Before(end) {
+		for _, k := range kinds {
+			if o, ok := running[k.name]; ok && time.Now().After(o.at) {
+				o.heal()
+				delete(running, k.name)
+			}
+		}
+		k := kinds[s.rand()%uint64(len(kinds))]
+		if _, ok := running[k.name]; !ok && len(running) < 4 {
+			s.injected[k.name]++
+			heal := k.run(s)
+			running[k.name] = open{at: time.Now().Add(time.Duration(200+s.rand()%6000) * time.Millisecond), heal: heal}
+		}
+		s.sleep(100, 2000)
+	}
+	for _, k := range kinds {
+		if o, ok := running[k.name]; ok {
+			o.heal()
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/soak_test.go
@@ -0,0 +1,30 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSoak plays a short soak with real processes. The seed fixes which faults
+// strike; seeds that ever found something stay in the list.
+func TestSoak(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "coltsfootdock")
+	build := exec.Command("go", "build", "-o", program, "coltsfootdock/cmd/coltsfootdock")
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, string(out))
+	for _, seed := range []uint64{7} {
+		r, err := Run(t.Context(), Options{
+			Daemon: program, Dir: dir, Seed: seed, For: 12 * time.Second, Daemons: 6, Targets: 12, Clients: 12, Slot: 40,
+		})
+		require.NoError(t, err)
+		r.Print(os.Stdout)
+		require.Empty(t, r.Broken, "seed %d", seed)
+		require.Positive(t, r.Served)
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/target.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/platform"
+)
+
+// zone is a data centre.
+type zone struct {
+	name string
+	mu   sync.Mutex
+	out  time.Time
+}
+
+func (z *zone) setOut(at time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.out = at
+}
+
+func (z *zone) outSince() time.Time {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.out
+}
+
+// target is one target: it accepts flows, runs requests and answers clients
+// directly.
+type target struct {
+	id   string
+	num  uint64
+	pool string
+	zone *zone
+	sys  *System
+	conn *net.UDPConn
+	addr netip.AddrPort
+	calm calm
+
+	mu    sync.Mutex
+	born  int64
+	drain time.Time
+	dark  bool
+	gone  bool
+	flows map[flow.Tuple]*targetFlow
+}
+
+// targetFlow is a flow at its target.
+type targetFlow struct {
+	// seq is the number of the packet that accepted the flow, out that of the
+	// next byte to send, next that of the next byte to come.
+	seq    uint32
+	out    uint32
+	next   uint32
+	answer []byte
+}
+
+func newTarget(s *System, n int, pool string, z *zone) (*target, error) {
+	addr := netip.AddrPortFrom(s.opts.host(2, n), targetPort)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	t := &target{
+		id: fmt.Sprintf("i-%08x", 0x5eed0000+n), num: uint64(0x5eed0000 + n), pool: pool, zone: z, sys: s,
+		conn: conn, addr: addr, born: time.Now().UnixMilli(), flows: make(map[flow.Tuple]*targetFlow),
+	}
+	s.wg.Go(t.serve)
+	return t, nil
+}
+
+func (t *target) leaving() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drain
+}
+
+func (t *target) holds(f flow.Tuple) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.gone && t.flows[f] != nil
+}
+
+// restart forgets all flows, as a crash does; the target starts again under
+// its id.
+func (t *target) restart() {
+	t.mu.Lock()
+	t.flows = make(map[flow.Tuple]*targetFlow)
+	t.born = time.Now().UnixMilli()
+	t.mu.Unlock()
+	t.beat()
+}
+
+func (t *target) setDark(v bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dark = v
+}
+
+// beat writes the target's entry, if the store takes it.
+func (t *target) beat() {
+	t.mu.Lock()
+	dark := t.dark || t.gone
+	spec := platform.TargetEntry(t.pool, t.addr.String(), t.zone.name, 2, !t.drain.IsZero(), t.born)
+	t.mu.Unlock()
+	if !dark && !t.sys.storeDown() {
+		t.sys.store.Put(targetsKind, t.id, spec)
+	}
+}
+
+// leave drains the target and ends it.
+func (t *target) leave() {
+	t.mu.Lock()
+	t.drain = time.Now()
+	t.mu.Unlock()
+	t.beat()
+	t.sys.after(drainBound+2*time.Second, func() {
+		t.mu.Lock()
+		t.gone = true
+		t.flows = nil
+		t.mu.Unlock()
+		t.sys.store.Drop(targetsKind, t.id)
+		_ = t.conn.Close()
+	})
+}
+
+func (t *target) serve() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		num, packet, ok := platform.SplitPrefix(buf[:n])
+		var s flow.Segment
+		if ok && (num == 0 || num == t.num) && platform.Decode(packet, &s) {
+			t.handle(from.Addr(), &s, packet[len(packet)-int(s.Len):])
+		}
+	}
+}
+
+func (t *target) handle(from netip.Addr, s *flow.Segment, data []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dark || t.gone {
+		return
+	}
+	f := t.flows[s.Tuple]
+	reply := flow.Segment{Tuple: s.Tuple, Cookie: s.Cookie}
+	switch {
+	case s.Open:
+		if f == nil {
+			f = &targetFlow{next: s.Seq + 1}
+			f.seq = uint32(t.sys.rand())
+			f.out = f.seq + 1
+			t.flows[s.Tuple] = f
+			d, r := t.sys.daemonAt(from), t.sys.routeAt(s.Tuple.Service())
+			t.mu.Unlock()
+			t.sys.judge.opened(t, d, r, time.Now())
+			t.mu.Lock()
+		}
+		reply.Seq, reply.Ack = f.seq, f.next
+		t.answer(&reply, true, nil)
+	case f == nil:
+		if !s.Reset {
+			reply.Reset, reply.Seq = true, s.Ack
+			t.answer(&reply, false, nil)
+		}
+	case s.Close || s.Reset:
+		delete(t.flows, s.Tuple)
+	case s.Len == requestSize && s.Seq == f.next:
+		id := binary.BigEndian.Uint64(data)
+		t.sys.judge.run(id, t)
+		f.next += requestSize
+		f.answer = binary.BigEndian.AppendUint64(nil, id)
+		reply.Seq, reply.Ack = f.out, f.next
+		f.out += uint32(len(f.answer))
+		t.answer(&reply, false, f.answer)
+	case s.Len > 0 && s.Seq+requestSize == f.next:
+		reply.Seq, reply.Ack = f.out-uint32(len(f.answer)), f.next // sent again: the answer was lost
+		t.answer(&reply, false, f.answer)
+	}
+}
+
+// answer sends a packet straight to the client.
+func (t *target) answer(s *flow.Segment, accept bool, data []byte) {
+	var b [platform.MaxPacket]byte
+	to := platform.ClientAddress(&s.Tuple, packetPort)
+	_, _ = t.conn.WriteToUDPAddrPort(platform.Pack(b[:], s, accept, true, data), to)
+}
