--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -45,8 +45,8 @@
 	targets map[schema.TargetID]*Entry
 	table   *Table
 	outs    map[schema.DataCentreID]mark
-	// floors are the revisions up to which removals were forgotten: changes
-	// since an older revision can't be told.
+	// floors are the revisions up to which removals were forgotten or never
+	// seen: changes since an older revision can't be told.
 	floors [Topics]schema.Version
 }
 
@@ -95,6 +95,10 @@
 	case Outs:
 		b.applyOuts(now, u, &c)
 	}
+	if u.Full && u.Rev > b.revs[u.Topic] {
+		// Removals up to here that this book never saw can't be told.
+		b.floors[u.Topic] = max(b.floors[u.Topic], u.Rev)
+	}
 	b.revs[u.Topic] = max(b.revs[u.Topic], u.Rev)
 	return c
 }
@@ -122,6 +126,9 @@
 
 func (b *Book) putTarget(now clock.Milli, t *Target, c *Change) {
 	e := b.targets[t.ID]
+	if e == nil && t.Rev <= b.revs[Targets] {
+		return // it was removed before the book was complete up to here
+	}
 	if e == nil {
 		b.targets[t.ID] = &Entry{Target: *t, Rev: t.Rev, Since: now}
 		c.News = true
@@ -155,7 +162,7 @@
 func (b *Book) applyOuts(now clock.Milli, u *Update, c *Change) {
 	set := func(dc schema.DataCentreID, rev schema.Version, out bool) {
 		m, ok := b.outs[dc]
-		if ok && rev < m.rev || !ok && !out {
+		if ok && rev < m.rev || !ok && (!out || rev <= b.revs[Outs]) {
 			return
 		}
 		if m.out != out {
--- /dev/null
+++ b/internal/state/fleet/book_test.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/pkg/schema"
+)
+
+// truth is a store's history of targets: what each revision changed.
+type truth struct {
+	rev    schema.Version
+	events []Update
+	now    map[schema.TargetID]Target
+}
+
+func (h *truth) change(t *rapid.T) {
+	h.rev += schema.Version(rapid.IntRange(1, 3).Draw(t, "step"))
+	id := schema.TargetID(fmt.Sprintf("i-%d", rapid.IntRange(0, 4).Draw(t, "target")))
+	u := Update{Topic: Targets, Since: h.rev - 1, Rev: h.rev}
+	if _, ok := h.now[id]; ok && rapid.Bool().Draw(t, "remove") {
+		delete(h.now, id)
+		u.Gone = []Gone{{Name: string(id), Rev: h.rev}}
+	} else {
+		e := Target{ID: id, Rev: h.rev, Draining: rapid.Bool().Draw(t, "draining")}
+		h.now[id] = e
+		u.Targets = []Target{e}
+	}
+	h.events = append(h.events, u)
+}
+
+// list is a full answer at this moment.
+func (h *truth) list() Update {
+	u := Update{Topic: Targets, Full: true, Rev: h.rev}
+	for _, t := range h.now {
+		u.Targets = append(u.Targets, t)
+	}
+	return u
+}
+
+// since is an answer with the changes after a revision.
+func (h *truth) since(rev schema.Version) Update {
+	u := Update{Topic: Targets, Since: rev, Rev: h.rev}
+	for _, e := range h.events {
+		if e.Rev > rev {
+			u.Targets = append(u.Targets, e.Targets...)
+			u.Gone = append(u.Gone, e.Gone...)
+		}
+	}
+	return u
+}
+
+// TestBooksConverge proves that news in any order, repeated, late and from
+// peers, leads to the store's state, and never back.
+func TestBooksConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &truth{now: make(map[schema.TargetID]Target)}
+		var answers []Update
+		books := []*Book{NewBook(), NewBook()}
+		newest := make([]map[schema.TargetID]schema.Version, len(books))
+		for i := range newest {
+			newest[i] = make(map[schema.TargetID]schema.Version)
+		}
+		for now := range clock.Milli(rapid.IntRange(5, 40).Draw(t, "steps")) {
+			h.change(t)
+			answers = append(answers, h.list(), h.since(books[0].Rev(Targets)), h.since(books[1].Rev(Targets)))
+			for i, b := range books {
+				u := answers[rapid.IntRange(0, len(answers)-1).Draw(t, "answer")]
+				if rapid.IntRange(0, 3).Draw(t, "from peer") == 0 {
+					u = books[1-i].Since(Targets, b.Rev(Targets))
+				}
+				b.Apply(now, &u)
+				for id, e := range b.Entries() {
+					require.GreaterOrEqual(t, e.Rev, newest[i][id], "target %s reverts", id)
+					newest[i][id] = e.Rev
+				}
+			}
+		}
+		last := h.since(books[0].Rev(Targets))
+		books[0].Apply(1000, &last)
+		pulled := books[0].Since(Targets, books[1].Rev(Targets))
+		books[1].Apply(1000, &pulled)
+		for _, b := range books {
+			require.Equal(t, h.rev, b.Rev(Targets))
+			live := make(map[schema.TargetID]Target)
+			for id, e := range b.Entries() {
+				if !e.Gone {
+					live[id] = e.Target
+				}
+			}
+			require.Equal(t, h.now, live)
+		}
+	})
+}
+
+func TestGapIsRefused(t *testing.T) {
+	b := NewBook()
+	b.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10})
+	require.False(t, b.Apply(1, &Update{Topic: Targets, Since: 12, Rev: 14, Targets: []Target{{ID: "x", Rev: 13}}}).News)
+	require.Equal(t, schema.Version(10), b.Rev(Targets))
+}
+
+func TestForgottenRemovalsForceFullNews(t *testing.T) {
+	b := NewBook()
+	b.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5}}})
+	b.Apply(1, &Update{Topic: Targets, Since: 10, Rev: 11, Gone: []Gone{{Name: "x", Rev: 11}}})
+	require.False(t, func() bool { u := b.Since(Targets, 10); return u.Full }())
+	b.Forget(1 + keepGone + 1)
+	u := b.Since(Targets, 10)
+	require.True(t, u.Full, "the removal after revision 10 is forgotten")
+}
+
+func TestUnreadableTableKeepsTheOldOne(t *testing.T) {
+	b := NewBook()
+	b.Apply(0, &Update{Topic: Config, Full: true, Rev: 10, Table: &Table{Version: 1, Rev: 9}})
+	b.Apply(1, &Update{Topic: Config, Full: true, Rev: 12})
+	require.Equal(t, int64(1), b.Table().Version)
+}
