--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -21,19 +20,22 @@
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/fresh"
 	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/duty"
 	"coltsfootdock/internal/protocol/object"
 	"coltsfootdock/internal/setup"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
 	"coltsfootdock/internal/transport/edge"
+	"coltsfootdock/internal/transport/sock"
 )
 
 const (
 	tickEvery = 25 * time.Millisecond
 	// pauseLimit is the time between two ticks that means this process did
 	// not run.
-	pauseLimit  = 400 * clock.Milli(1)
-	stopTimeout = time.Second
+	pauseLimit = 400 * clock.Milli(1)
+	// peerBuffer holds the summaries of a large crowd.
+	peerBuffer = 256 << 10
 )
 
 // Wire is the platform's side of the daemon.
@@ -71,7 +73,7 @@
 	wasReady    bool
 
 	plane *edge.Plane
-	peers *net.UDPConn
+	peers *sock.UDP
 	ready net.Listener
 	pull  net.Listener
 	gauge net.Listener
@@ -132,7 +134,7 @@
 	if d.plane, err = edge.Listen(d.cfg.Data, d.wire.Packets, d.packet, d.metrics.plane()); err != nil {
 		return err
 	}
-	if d.peers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.cfg.Peer)); err != nil {
+	if d.peers, err = sock.Listen("udp4", d.cfg.Peer, peerBuffer); err != nil {
 		return err
 	}
 	if d.pull, err = net.Listen("tcp4", d.cfg.Peer.String()); err != nil {
@@ -149,23 +151,19 @@
 
 // Close frees the sockets.
 func (d *Daemon) Close() error {
-	var err error
-	closing := func(e error) {
-		if !errors.Is(e, net.ErrClosed) {
-			err = errors.Join(err, e)
-		}
-	}
+	var open []interface{ Close() error }
 	if d.plane != nil {
-		closing(d.plane.Close())
+		open = append(open, d.plane)
 	}
 	if d.peers != nil {
-		closing(d.peers.Close())
+		open = append(open, d.peers)
 	}
 	for _, l := range []net.Listener{d.pull, d.gauge, d.ready} {
 		if l != nil {
-			closing(l.Close())
+			open = append(open, l)
 		}
 	}
+	err := duty.CloseAll(open...)
 	d.store.Close()
 	d.log.close()
 	return err
@@ -182,16 +180,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sup := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { d.log.event("supervisor: %s", e) }})
-	sup.Add(duty{"packets", d.plane.Serve})
-	sup.Add(duty{"time", d.ticks})
-	sup.Add(duty{"reader", d.reads})
-	sup.Add(duty{"peers", d.hear})
-	sup.Add(duty{"puller", d.pullNews})
-	sup.Add(duty{"settings", d.watchSettings})
-	sup.Add(duty{"ready", d.serveHTTP(d.ready, d.readyHandler())})
-	sup.Add(duty{"news", d.serveHTTP(d.pull, d.newsHandler())})
+	sup.Add(duty.Duty{Name: "packets", Run: d.plane.Serve})
+	sup.Add(duty.Duty{Name: "time", Run: d.ticks})
+	sup.Add(duty.Duty{Name: "reader", Run: d.reads})
+	sup.Add(duty.Duty{Name: "peers", Run: d.hear})
+	sup.Add(duty.Duty{Name: "puller", Run: d.pullNews})
+	sup.Add(duty.Duty{Name: "settings", Run: d.watchSettings})
+	sup.Add(duty.Duty{Name: "ready", Run: duty.HTTP(d.ready, d.readyHandler())})
+	sup.Add(duty.Duty{Name: "news", Run: duty.HTTP(d.pull, d.newsHandler())})
 	if d.gauge != nil {
-		sup.Add(duty{"metrics", d.serveHTTP(d.gauge, d.metrics.handler())})
+		sup.Add(duty.Duty{Name: "metrics", Run: duty.HTTP(d.gauge, d.metrics.handler())})
 	}
 	go d.awaitLeave(ctx, cancel)
 	d.log.event("start: incarnation=%d data=%s peer=%s store=%s seeds=%d bound=%dms",
@@ -205,32 +203,6 @@
 	return err
 }
 
-// duty is a supervised service with a name.
-type duty struct {
-	name string
-	run  func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s duty) Serve(ctx context.Context) error { return s.run(ctx) }
-
-// String implements fmt.Stringer.
-func (s duty) String() string { return s.name }
-
-// serveHTTP returns a duty that serves a handler on a listener.
-func (d *Daemon) serveHTTP(l net.Listener, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		server := &http.Server{Handler: h, ReadHeaderTimeout: stopTimeout, IdleTimeout: 30 * time.Second}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		err := server.Serve(l)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		return err
-	}
-}
-
 // packet handles one packet of the fabric.
 func (d *Daemon) packet(b []byte, s *flow.Segment) {
 	d.mu.Lock()
--- a/internal/entry/reads.go
+++ b/internal/entry/reads.go
@@ -8,6 +8,7 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/fresh"
+	"coltsfootdock/internal/duty"
 	"coltsfootdock/internal/protocol/object"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -18,14 +19,7 @@
 
 // reads makes the calls that the reader asks for.
 func (d *Daemon) reads(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case c := <-d.calls:
-			d.readAll(ctx, c)
-		}
-	}
+	return duty.Drain(ctx, d.calls, func(c fresh.Call) { d.readAll(ctx, c) })
 }
 
 // readAll makes a call and those that follow from it at once.
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -12,6 +10,7 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/fresh"
+	"coltsfootdock/internal/duty"
 	"coltsfootdock/internal/protocol/digest"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -81,25 +80,21 @@
 
 // hear takes the summaries of peers.
 func (d *Daemon) hear(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.peers.Close() })
-	defer stop()
 	buf := make([]byte, digest.MaxSize)
-	for {
+	return d.peers.Serve(ctx, func() error {
 		n, from, err := d.peers.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return ctx.Err()
-		}
 		if err != nil {
-			continue // a passing error, such as an ICMP answer
+			return err
 		}
 		s, err := digest.Decode[digest.Summary](buf[:n])
 		if err != nil {
 			d.metrics.peerBad.Inc()
 			d.log.sampled("peers: message from %s left out: %s", from, err)
-			continue
+			return nil
 		}
 		d.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), s)
-	}
+		return nil
+	})
 }
 
 // take handles a peer's summary.
@@ -142,16 +137,11 @@
 		IdleConnTimeout:     10 * time.Second,
 	}}
 	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case from := <-d.pulls:
-			if err := d.pullFrom(ctx, client, from); err != nil {
-				d.log.sampled("peers: news of %s not pulled: %s", from, err)
-			}
+	return duty.Drain(ctx, d.pulls, func(from netip.AddrPort) {
+		if err := d.pullFrom(ctx, client, from); err != nil {
+			d.log.sampled("peers: news of %s not pulled: %s", from, err)
 		}
-	}
+	})
 }
 
 func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/duty"
 	"coltsfootdock/internal/state/fleet"
 )
 
@@ -22,18 +23,11 @@
 )
 
 func (d *Daemon) ticks(ctx context.Context) error {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			d.mu.Lock()
-			d.tick()
-			d.mu.Unlock()
-		}
-	}
+	return duty.Every(ctx, tickEvery, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.tick()
+	})
 }
 
 // tick advances time. The lock is held.
@@ -126,14 +120,5 @@
 
 // watchSettings looks for changes of the settings that came without a signal.
 func (d *Daemon) watchSettings(ctx context.Context) error {
-	t := time.NewTicker(settingsEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			d.Reload("file")
-		}
-	}
+	return duty.Every(ctx, settingsEvery, func() { d.Reload("file") })
 }
--- /dev/null
+++ b/internal/serve/calls.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"context"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/daemon"
+	"coltsfootdock/internal/duty"
+	"coltsfootdock/internal/transport/probe"
+	"coltsfootdock/pkg/schema"
+)
+
+func (d *Daemon) sendLoop(ctx context.Context) error {
+	return duty.Drain(ctx, d.sends, func(s daemon.Send) {
+		d.mesh.Send(s.To, s.Message, s.Datagram)
+	})
+}
+
+func (d *Daemon) readLoop(ctx context.Context) error {
+	return duty.Drain(ctx, d.reads, func(r daemon.Read) {
+		began := d.clock.Now()
+		l, err := d.platform.Changes(ctx, r.Since)
+		d.metrics.PlatformCall("read", err)
+		list := &l
+		if err != nil {
+			d.log.Debugf("platform: read failed: %s", err)
+			list = nil
+		}
+		d.event(func(now clock.Milli, m *daemon.Machine) daemon.Output {
+			return m.ReadDone(now, began, r.Since, list)
+		})
+	})
+}
+
+func (d *Daemon) writeLoop(ctx context.Context) error {
+	return duty.Drain(ctx, d.writes, func(w daemon.Write) {
+		v, err := d.write(ctx, w)
+		d.metrics.PlatformCall("write", err)
+		if err != nil {
+			d.log.Infof("planner: %s %s not written: %s", w.ID.Kind, w.ID.Name, err)
+		} else {
+			d.log.Infof("planner: %s %s is version %d", w.ID.Kind, w.ID.Name, v)
+		}
+		d.event(func(_ clock.Milli, m *daemon.Machine) daemon.Output {
+			m.Written()
+			return daemon.Output{}
+		})
+	})
+}
+
+func (d *Daemon) write(ctx context.Context, w daemon.Write) (schema.Version, error) {
+	if w.Data == nil {
+		return d.platform.Delete(ctx, w.ID, w.Expect)
+	}
+	return d.platform.Put(ctx, w.ID, w.Expect, w.Data)
+}
+
+func (d *Daemon) probeLoop(ctx context.Context) error {
+	p := probe.New()
+	defer p.Close()
+	return duty.Drain(ctx, d.probes, func(q daemon.Probe) {
+		r := p.Probe(ctx, q.Handle, q.Target)
+		d.event(func(now clock.Milli, m *daemon.Machine) daemon.Output {
+			m.ProbeDone(now, r)
+			return daemon.Output{}
+		})
+	})
+}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -28,7 +28,7 @@
 		for _, d := range s.daemons {
 			done := d.calm.disturb()
 			d.signal(syscall.SIGKILL)
-			heals = append(heals, func() { <-d.ended; s.restart(d); done() })
+			heals = append(heals, func() { d.stop(syscall.SIGKILL); s.restart(d); done() })
 		}
 		return func() {
 			for _, h := range heals {
@@ -146,7 +146,16 @@
 	}
 }
 
+// restart starts a daemon's process again, unless another fault's end did.
 func (s *System) restart(d *daemon) {
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	select {
+	case <-ended:
+	default:
+		return
+	}
 	if err := s.start(d); err != nil {
 		s.judge.mu.Lock()
 		s.judge.fail("soak", "daemon %s does not start: %s", d.id, err)
--- a/internal/transport/edge/edge.go
+++ b/internal/transport/edge/edge.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
-	"sync"
 
 	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/internal/transport/sock"
 )
 
 const socketBuffer = 1 << 20
@@ -44,57 +42,45 @@
 // Plane is the packet path of one daemon.
 type Plane struct {
 	wire     Wire
-	conn     *net.UDPConn
+	conn     *sock.UDP
 	port     uint16
 	handle   Handler
 	counters Counters
-	mu       sync.Mutex // held while Serve runs
+	buf      []byte
+	segment  flow.Segment
 }
 
 // Listen opens the packet path on a UDP address.
 func Listen(addr netip.AddrPort, w Wire, h Handler, c Counters) (*Plane, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	conn, err := sock.Listen("udp4", addr, socketBuffer)
 	if err != nil {
 		return nil, err
 	}
-	_ = conn.SetReadBuffer(socketBuffer) // the kernel may grant less
-	return &Plane{wire: w, conn: conn, port: addr.Port(), handle: h, counters: c}, nil
+	return &Plane{
+		wire: w, conn: conn, port: addr.Port(), handle: h, counters: c,
+		buf: make([]byte, w.Prefix+w.MaxPacket+1), // one byte more, to tell a packet that is too long
+	}, nil
 }
 
 // Close closes the socket and waits for Serve.
-func (p *Plane) Close() error {
-	err := p.conn.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
+func (p *Plane) Close() error { return p.conn.Close() }
 
 // Serve handles packets until ctx ends or the socket is closed.
-func (p *Plane) Serve(ctx context.Context) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
-	defer stop()
-	buf := make([]byte, p.wire.Prefix+p.wire.MaxPacket+1)
-	var s flow.Segment
-	for {
-		n, err := p.conn.Read(buf[p.wire.Prefix:])
-		if errors.Is(err, net.ErrClosed) {
-			return context.Cause(ctx)
-		}
-		if err != nil {
-			continue // a passing error, such as an ICMP answer to an earlier packet
-		}
-		b := buf[:p.wire.Prefix+n]
-		if !p.wire.Decode(b[p.wire.Prefix:], &s) {
-			p.counters.Malformed()
-			continue
-		}
-		p.handle(b, &s)
+func (p *Plane) Serve(ctx context.Context) error { return p.conn.Serve(ctx, p.one) }
+
+// one receives and handles one packet.
+func (p *Plane) one() error {
+	n, err := p.conn.Read(p.buf[p.wire.Prefix:])
+	if err != nil {
+		return err
+	}
+	b := p.buf[:p.wire.Prefix+n]
+	if !p.wire.Decode(b[p.wire.Prefix:], &p.segment) {
+		p.counters.Malformed()
+		return nil
 	}
+	p.handle(b, &p.segment)
+	return nil
 }
 
 // Deliver sends a packet, which stands at Wire.Prefix in b, to a target.
--- a/internal/transport/packet/bench_test.go
+++ b/internal/transport/packet/bench_test.go
@@ -139,9 +139,8 @@
 	})
 	require.NoError(b, err)
 	b.Cleanup(func() { _ = p.Close() })
-	buf := make([]byte, geneve.Headroom+maxPacket)
 	m.ReadDone(c.Now(), c.Now(), 3, &object.List{Revision: 3})
-	run(b, sender, p.conn.LocalAddr().(*net.UDPAddr).AddrPort(), func() error { return p.one(buf) })
+	run(b, sender, p.conn.LocalAddr().(*net.UDPAddr).AddrPort(), func() error { return p.one() })
 }
 
 // BenchmarkBareForward measures the same sockets and calls without a
--- a/internal/transport/packet/packet.go
+++ b/internal/transport/packet/packet.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
-	"sync"
 
 	"coltsfootdock/internal/coordination/daemon"
 	"coltsfootdock/internal/protocol/geneve"
+	"coltsfootdock/internal/transport/sock"
 	"coltsfootdock/pkg/schema"
 )
 
@@ -32,7 +30,7 @@
 
 // Plane is the data path of one daemon.
 type Plane struct {
-	conn     *net.UDPConn
+	conn     *sock.UDP
 	decide   Decider
 	counters Counters
 	decoder  geneve.Decoder
@@ -41,54 +39,33 @@
 	// none is allocated.
 	pkt     geneve.Packet
 	verdict daemon.Verdict
-	mu      sync.Mutex // held while Serve runs
+	buf     []byte
 }
 
 // Listen opens the data path on a UDP address.
 func Listen(addr netip.AddrPort, d Decider, c Counters) (*Plane, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	conn, err := sock.Listen("udp", addr, socketBuffer)
 	if err != nil {
 		return nil, err
 	}
-	// The kernel may grant less; the packets that don't fit are lost.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
-	return &Plane{conn: conn, decide: d, counters: c, encoder: geneve.NewEncoder()}, nil
+	return &Plane{
+		conn: conn, decide: d, counters: c, encoder: geneve.NewEncoder(), buf: make([]byte, geneve.Headroom+maxPacket),
+	}, nil
 }
 
 // Close closes the socket and waits for Serve.
-func (p *Plane) Close() error {
-	err := p.conn.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
+func (p *Plane) Close() error { return p.conn.Close() }
 
 // Serve handles packets until ctx ends or the socket is closed.
-func (p *Plane) Serve(ctx context.Context) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
-	defer stop()
-	buf := make([]byte, geneve.Headroom+maxPacket)
-	for {
-		if err := p.one(buf); errors.Is(err, net.ErrClosed) {
-			return context.Cause(ctx)
-		}
-	}
-}
+func (p *Plane) Serve(ctx context.Context) error { return p.conn.Serve(ctx, p.one) }
 
-// one receives and handles one packet. Errors other than a closed socket are
-// passing ones, such as an ICMP error for an earlier packet.
-func (p *Plane) one(buf []byte) error {
-	n, from, err := p.conn.ReadFromUDPAddrPort(buf[geneve.Headroom:])
+// one receives and handles one packet.
+func (p *Plane) one() error {
+	n, from, err := p.conn.ReadFromUDPAddrPort(p.buf[geneve.Headroom:])
 	if err != nil {
 		return err
 	}
-	p.handle(buf[:geneve.Headroom+n], from, &p.pkt)
+	p.handle(p.buf[:geneve.Headroom+n], from, &p.pkt)
 	return nil
 }
 
