internal/entry: packets held at the start are decided once the deployment is known

Cause: TestHeldPacketsAreDecidedOnceItIs: the last topic to come is usually the empty list of data centres that are out; it is no news, so packets that waited after all daemons were killed waited until the next change. Also a reload that changed what can't change said so every two seconds. Change: held packets are decided after each answer; the settings are compared with those last read.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,10 @@
 
 // Daemon is one entry daemon.
 type Daemon struct {
-	cfg     *setup.Entry
+	cfg *setup.Entry
+	// loaded are the settings as they were last read; cfg may differ in what
+	// can't change while the daemon runs.
+	loaded  *setup.Entry
 	wire    Wire
 	log     *lines
 	clock   *clock.Clock
@@ -107,6 +110,8 @@
 	d.log = newLines(log, string(cfg.ID), d.metrics)
 	d.crowd = fresh.NewCrowd(cfg.Peer, seedAddrs(cfg), incarnation)
 	d.lastTick = d.clock.Now()
+	loaded := *cfg
+	d.loaded = &loaded
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(d.lastTick, code) }, 1)
 	if err := d.open(); err != nil {
 		return nil, errors.Join(err, d.Close())
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/fresh"
+	"coltsfootdock/internal/protocol/digest"
+	"coltsfootdock/internal/setup"
+	"coltsfootdock/internal/standin/plat"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/internal/transport/edge"
+	"coltsfootdock/platform"
+)
+
+// safeBuffer is a log output that a test reads while it is written.
+type safeBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func free(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// bed is a daemon beside a stand-in store. Its duties do not run.
+type bed struct {
+	daemon *Daemon
+	store  *plat.Platform
+	log    *safeBuffer
+	cfg    setup.Entry
+	load   error
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{store: plat.New(), log: &safeBuffer{}}
+	s := httptest.NewServer(b.store)
+	t.Cleanup(s.Close)
+	span := 3 * clock.Second
+	b.cfg = setup.Entry{
+		ID: "vm-1", DataCentre: "a", Data: free(t), Ready: free(t), Peer: free(t),
+		Store: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
+		Bounds: setup.Bounds{
+			Apply: span, Drain: span, Out: span, Grace: 2 * span, Stable: span, FlowLife: clock.Minute, Heartbeat: clock.Second,
+		},
+	}
+	cfg := b.cfg
+	d, err := New(&cfg, Wire{
+		Packets: edge.Wire{
+			Prefix: platform.PrefixSize, MaxPacket: platform.MaxPacket,
+			Decode: platform.Decode, Address: platform.Address, Reset: platform.Reset, Client: platform.ClientAddress,
+		},
+		ReadyPath: "/ready",
+		Load: func() (*setup.Entry, error) {
+			cfg := b.cfg
+			return &cfg, b.load
+		},
+	}, NewLogger(b.log))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = d.Close() })
+	b.daemon = d
+	return b
+}
+
+func (b *bed) deploy() {
+	b.store.Put("config", "main", platform.TableSpec{
+		Version: 1, Routes: []platform.RouteSpec{platform.RouteEntry("r", "198.18.0.1", "80", "desk", true)},
+	})
+	b.store.Put("servers", "i-01", platform.TargetEntry("desk", "127.0.0.1:9", "a", 2, false, 1))
+}
+
+func (b *bed) isReady() int {
+	w := httptest.NewRecorder()
+	b.daemon.readyHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+	return w.Code
+}
+
+func TestReadyOnceTheDeploymentIsKnown(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	require.Equal(t, http.StatusServiceUnavailable, b.isReady())
+	b.readOnce(t, fleet.Targets, fleet.Config)
+	require.Equal(t, http.StatusServiceUnavailable, b.isReady())
+	b.readOnce(t, fleet.Outs)
+	require.Equal(t, http.StatusOK, b.isReady())
+	b.daemon.leaving = true
+	require.Equal(t, http.StatusServiceUnavailable, b.isReady())
+}
+
+// Load: all daemons were killed; packets come before the deployment is known.
+func TestHeldPacketsAreDecidedOnceItIs(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	d := b.daemon
+	s := flow.Segment{Open: true, Tuple: flow.Tuple{Address: [4]byte{198, 18, 0, 1}, Port: 80}}
+	buf := append(make([]byte, platform.PrefixSize), platform.Pack(make([]byte, platform.MaxPacket), &s, false, false, nil)...)
+	for range 2 * maxHeld {
+		d.packet(buf, &s)
+	}
+	require.Len(t, d.held, maxHeld, "bounded")
+	b.readOnce(t, fleet.Targets, fleet.Config, fleet.Outs)
+	require.Zero(t, len(d.held))
+	require.Equal(t, http.StatusOK, b.isReady())
+	d.log.close()
+	require.Contains(t, b.log.String(), "target=i-01")
+}
+
+// readOnce lists topics, each once.
+func (b *bed) readOnce(t *testing.T, topics ...fleet.Topic) {
+	d := b.daemon
+	for _, topic := range topics {
+		began := d.clock.Now()
+		c := fresh.Call{Topic: topic, List: true}
+		u, err := d.read(t.Context(), c)
+		require.NoError(t, err)
+		d.mu.Lock()
+		d.readDone(began, c, u, nil)
+		d.mu.Unlock()
+	}
+}
+
+func TestPeersGetWhatTheyLack(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	b.readOnce(t, fleet.Targets, fleet.Config, fleet.Outs)
+	get := func(query string) (int, []byte) {
+		w := httptest.NewRecorder()
+		b.daemon.newsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, newsPath+query, nil))
+		body, err := io.ReadAll(w.Result().Body)
+		require.NoError(t, err)
+		return w.Code, body
+	}
+	code, body := get("?targets=0&config=0&outs=0")
+	require.Equal(t, http.StatusOK, code)
+	n, err := digest.Decode[digest.News](body)
+	require.NoError(t, err)
+	require.Len(t, n.Updates, 3)
+	_, body = get("?targets=99&config=99&outs=99")
+	n, err = digest.Decode[digest.News](body)
+	require.NoError(t, err)
+	require.Empty(t, n.Updates)
+	code, _ = get("?targets=x&config=0&outs=0")
+	require.Equal(t, http.StatusBadRequest, code)
+}
+
+// Load: the settings file is broken for a while, and changes what can't
+// change.
+func TestReload(t *testing.T) {
+	b := newBed(t)
+	d := b.daemon
+	b.load = errors.New("boot.toml:3: bad")
+	b.cfg.Bounds.Apply = clock.Second
+	d.Reload("signal")
+	require.Equal(t, 3*clock.Second, d.cfg.Bounds.Apply, "settings that can't be used change nothing")
+	b.load = nil
+	b.cfg.ID = "other"
+	d.Reload("signal")
+	require.Equal(t, clock.Second, d.cfg.Bounds.Apply)
+	require.Equal(t, "vm-1", string(d.cfg.ID))
+	d.Reload("signal")
+	d.log.close()
+	text := b.log.String()
+	require.Contains(t, text, "settings not taken: boot.toml:3: bad")
+	require.Contains(t, text, "ID and addresses stay")
+	require.Contains(t, text, "nothing changed")
+}
+
+// Load: the log's reader stands still while packets pour in.
+func TestLogNeverBlocks(t *testing.T) {
+	r, w := io.Pipe()
+	m := &meters{omitted: newMeters(&Daemon{}).omitted}
+	l := newLines(NewLogger(w), "vm-1", m)
+	for range 10 * ringLines {
+		l.event("line")
+	}
+	require.Positive(t, m.omitted.Get())
+	for range 1000 {
+		l.sampled("line")
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }() // the reader goes on
+	l.close()
+}
+
+func FuzzMessages(f *testing.F) {
+	good, err := digest.Encode(&digest.Summary{ID: "vm-1", DataCentre: "a"})
+	require.NoError(f, err)
+	news, err := digest.Encode(&digest.News{Updates: []fleet.Update{{Topic: fleet.Outs, Full: true, Rev: 3}}, Ages: []clock.Milli{5}})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add(news)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := digest.Decode[digest.Summary](data); err == nil {
+			require.NotEmpty(t, s.ID)
+		}
+		if n, err := digest.Decode[digest.News](data); err == nil {
+			b := fleet.NewBook()
+			for i := range n.Updates {
+				b.Apply(1, &n.Updates[i])
+			}
+		}
+	})
+}
--- a/internal/entry/reads.go
+++ b/internal/entry/reads.go
@@ -80,7 +80,9 @@
 
 // apply takes news of a topic. The lock is held.
 func (d *Daemon) apply(now clock.Milli, u *fleet.Update, from string) {
-	if !d.core.Apply(now, u) {
+	news := d.core.Apply(now, u)
+	d.release(now) // an empty list may be all that was missing
+	if !news {
 		return
 	}
 	d.news = true
@@ -90,7 +92,6 @@
 	}
 	d.log.sampled("belief: topic=%s revision=%d from=%s full=%t targets=%d gone=%d outs=%d config=%d",
 		u.Topic, u.Rev, from, u.Full, len(u.Targets), len(u.Gone), len(u.Outs), version)
-	d.release(now)
 }
 
 // trouble notes a failed call. The lock is held.
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -1,8 +1,6 @@
 package entry
 
-import (
-	"reflect"
-)
+import "reflect"
 
 // Reload reads the settings again and takes over what can change while the
 // daemon runs: bounds, seeds and limits. Why tells what asked for it. Settings
@@ -16,12 +14,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	cfg.Metrics = d.cfg.Metrics
-	if reflect.DeepEqual(cfg, d.cfg) {
+	if reflect.DeepEqual(cfg, d.loaded) {
 		if why != "file" {
 			d.log.event("reload: by=%s: nothing changed", why)
 		}
 		return
 	}
+	loaded := *cfg
+	d.loaded = &loaded
 	if cfg.Data != d.cfg.Data || cfg.Ready != d.cfg.Ready || cfg.Peer != d.cfg.Peer || cfg.Store != d.cfg.Store || cfg.ID != d.cfg.ID {
 		d.log.event("reload: by=%s: ID and addresses stay until the next start", why)
 	}
--- /dev/null
+++ b/internal/transport/edge/bench_test.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/internal/transport/sock"
+	"coltsfootdock/pkg/schema"
+	"coltsfootdock/platform"
+)
+
+const payload = 400
+
+func listen(b *testing.B) *sock.UDP {
+	s, err := sock.Listen("udp4", netip.MustParseAddrPort("127.0.0.1:0"), 1<<20)
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func addrOf(s *sock.UDP) netip.AddrPort { return s.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// run sends packets and has each handled.
+func run(b *testing.B, sender *sock.UDP, to netip.AddrPort, data []byte, one func() error) {
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := sender.WriteToUDPAddrPort(data, to)
+		require.NoError(b, err)
+		if err := one(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkForward measures a packet of an established flow: received,
+// decided by its cookie, sent on.
+func BenchmarkForward(b *testing.B) {
+	sink, sender := listen(b), listen(b)
+	core := steer.New("a", 1)
+	target := fleet.Target{ID: "i-01", Num: 1, Pool: "p", Address: addrOf(sink), DataCentre: "a", Slots: 4, Rev: 3}
+	route := fleet.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Pools: []fleet.Share{{Pool: "p", Weight: 1}}}
+	core.Apply(1, &fleet.Update{Topic: fleet.Config, Full: true, Rev: 5, Table: &fleet.Table{Rev: 4, Routes: []fleet.Route{route}}})
+	core.Apply(1, &fleet.Update{Topic: fleet.Outs, Full: true, Rev: 5})
+	core.Apply(1, &fleet.Update{Topic: fleet.Targets, Full: true, Rev: 5, Targets: []fleet.Target{target}})
+	c := clock.New()
+	var p *Plane
+	p, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), Wire{
+		Prefix: platform.PrefixSize, MaxPacket: platform.MaxPacket, Decode: platform.Decode, Address: platform.Address,
+	}, func(data []byte, s *flow.Segment) {
+		v := core.Decide(c.Now(), s, true)
+		if v.Action == steer.Deliver {
+			p.Deliver(data, v.Target.Address, v.Target.Num, uint32(v.Target.Code))
+		}
+	}, Counters{Malformed: func() { b.Fatal("malformed") }, Unsent: func() {}})
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = p.Close() })
+	s := flow.Segment{Cookie: uint32(target.Code()), Seq: 7, Ack: 9, Tuple: flow.Tuple{
+		Client: [4]byte{100, 64, 0, 1}, ClientPort: 1025, Address: route.Address.Addr().As4(), Port: 80,
+	}}
+	data := platform.Pack(make([]byte, platform.MaxPacket), &s, false, false, make([]byte, payload))
+	run(b, sender, addrOf(p.conn), data, p.one)
+}
+
+// BenchmarkBareForward measures the same sockets and calls without a
+// decision.
+func BenchmarkBareForward(b *testing.B) {
+	sink, sender, loop := listen(b), listen(b), listen(b)
+	buf := make([]byte, platform.PrefixSize+platform.MaxPacket)
+	to := addrOf(sink)
+	data := make([]byte, payload+36)
+	run(b, sender, addrOf(loop), data, func() error {
+		n, err := loop.Read(buf[platform.PrefixSize:])
+		if err != nil {
+			return err
+		}
+		_, err = loop.WriteToUDPAddrPort(buf[:platform.PrefixSize+n], to)
+		return err
+	})
+}
+
+// BenchmarkDecide measures decisions alone, by the number of targets.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{18, 150, 467} {
+		core := steer.New("a", 1)
+		var list []fleet.Target
+		for i := range n {
+			list = append(list, fleet.Target{
+				ID: "i-", Num: uint64(i), Pool: "p", DataCentre: "a", Slots: 2, Rev: 3,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+			})
+			list[i].ID += fleetID(i)
+		}
+		route := fleet.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Pools: []fleet.Share{{Pool: "p", Weight: 1}}}
+		core.Apply(1, &fleet.Update{Topic: fleet.Config, Full: true, Rev: 5, Table: &fleet.Table{Rev: 4, Routes: []fleet.Route{route}}})
+		core.Apply(1, &fleet.Update{Topic: fleet.Outs, Full: true, Rev: 5})
+		core.Apply(1, &fleet.Update{Topic: fleet.Targets, Full: true, Rev: 5, Targets: list})
+		s := flow.Segment{Open: true, Tuple: flow.Tuple{Client: [4]byte{100, 64, 0, 1}, Address: route.Address.Addr().As4(), Port: 80}}
+		now := clock.Milli(1000)
+		b.Run("open/"+string(fleetID(n)[1:]), func(b *testing.B) {
+			for b.Loop() {
+				s.Tuple.ClientPort++
+				core.Decide(now, &s, true)
+			}
+		})
+		b.Run("tick/"+string(fleetID(n)[1:]), func(b *testing.B) {
+			for b.Loop() {
+				now += 25
+				core.Tick(now)
+			}
+		})
+	}
+}
+
+// fleetID returns a three-digit name with a letter before it.
+func fleetID(n int) schema.TargetID {
+	return schema.TargetID([]byte{'x', byte('0' + n/100), byte('0' + n/10%10), byte('0' + n%10)})
+}
