internal/coordination/fresh, cmd/coltsfootdock/cmd: reading goes on after its duty failed, settings can be checked

Cause: a reading duty that failed in the middle of a call left the reader waiting for its end for ever (read, not seen); coltsfootdock check knew only our own settings file.

--- a/cmd/coltsfootdock/cmd/cmd_test.go
+++ b/cmd/coltsfootdock/cmd/cmd_test.go
@@ -19,6 +19,8 @@
 		text += "[[Pools.Targets]]\nID = \"a\"\nAddress = \"127.0.0.1:1\"\nDataCentre = \"dc\"\n"
 	}
 	require.NoError(t, os.WriteFile(dup, []byte(text), 0o600))
+	boot := filepath.Join(dir, "boot.toml")
+	require.NoError(t, os.WriteFile(boot, []byte("nodeName = \"x\"\nip = 10\n"), 0o600))
 	const nobody = "http://127.0.0.1:1" // no daemon listens there
 	tests := []struct {
 		name string
@@ -32,6 +34,9 @@
 		{"valid settings", []string{"check", "--config", "../../../examples/lin/vm-1.toml"}, exitOK, "valid"},
 		{"effective settings", []string{"print", "--config", "../../../examples/caroni/vm-1.toml"}, exitOK, "IdleSeconds = 900"},
 		{"unknown key", []string{"check", "--config", bad}, exitUsage, "bad.toml:2: Sped: unknown key"},
+		{"platform's settings", []string{"entry", "--check", "--config", "../../../examples/platform/boot.toml"}, exitOK, "Data = '127.0.0.1:8172'"},
+		{"platform's settings, bad", []string{"entry", "--check", "--config", boot}, exitUsage, "boot.toml:2: ip: "},
+		{"platform's settings, missing", []string{"entry"}, exitUsage, "--config FILE is missing"},
 		{"missing settings", []string{"serve"}, exitUsage, "--config FILE is missing"},
 		{"bad address", []string{"route", "set", "--address", "desk", "desk"}, exitUsage, "must be IP:port"},
 		{"bad protocol", []string{"route", "set", "--address", "127.0.0.1:1", "--protocol", "udp", "desk"}, exitUsage, `must be "tcp" or "quic"`},
--- a/cmd/coltsfootdock/cmd/entry.go
+++ b/cmd/coltsfootdock/cmd/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -23,6 +24,7 @@
 	fs := flag.NewFlagSet("coltsfootdock entry", flag.ContinueOnError)
 	fs.SetOutput(a.err)
 	path := fs.String("config", "", "settings file of the platform")
+	check := fs.Bool("check", false, "check the settings, print what is derived from them, and end")
 	port := fs.Uint("metrics-port", 0, "port of the metrics, on the daemon's own address; 0 serves none")
 	return &ffcli.Command{
 		Name:       "entry",
@@ -39,6 +41,13 @@
 			if err != nil {
 				return err
 			}
+			if *check {
+				text, err := cfg.Print()
+				if err == nil {
+					fmt.Fprint(a.out, text)
+				}
+				return err
+			}
 			if *port > 0 {
 				cfg.Metrics = netip.AddrPortFrom(cfg.Peer.Addr(), uint16(*port))
 			}
--- a/internal/coordination/fresh/fresh.go
+++ b/internal/coordination/fresh/fresh.go
@@ -158,6 +158,10 @@
 	return Call{Topic: fleet.Targets, Since: r.revs[fleet.Targets], Wait: wait}, true
 }
 
+// Abandon forgets a read that nobody makes any more, as the duty that made it
+// was started anew.
+func (r *Reader) Abandon() { r.busy = false }
+
 // Done takes the end of a read that began at the given time. Rev is the
 // store's revision that it told.
 func (r *Reader) Done(now, began clock.Milli, c Call, o Outcome, rev schema.Version) {
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -295,3 +295,15 @@
 		require.Equal(t, 1, n)
 	}
 }
+
+// Load: the duty that reads fails in the middle of a call and starts anew.
+func TestReadingGoesOnAfterItsDutyFailed(t *testing.T) {
+	r := New(bound, 0)
+	_, ok := r.Next(start)
+	require.True(t, ok)
+	_, ok = r.Next(start + clock.Minute)
+	require.False(t, ok, "one call at a time")
+	r.Abandon()
+	_, ok = r.Next(start + clock.Minute)
+	require.True(t, ok)
+}
--- a/internal/entry/reads.go
+++ b/internal/entry/reads.go
@@ -19,6 +19,11 @@
 
 // reads makes the calls that the reader asks for.
 func (d *Daemon) reads(ctx context.Context) error {
+	d.mu.Lock()
+	if len(d.calls) == 0 {
+		d.reader.Abandon()
+	}
+	d.mu.Unlock()
 	return duty.Drain(ctx, d.calls, func(c fresh.Call) { d.readAll(ctx, c) })
 }
 
--- a/internal/setup/entry.go
+++ b/internal/setup/entry.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/pkg/schema"
 )
@@ -47,6 +49,12 @@
 	Heartbeat clock.Milli
 }
 
+// Print returns the settings as TOML.
+func (e *Entry) Print() (string, error) {
+	data, err := toml.Marshal(e)
+	return string(data), err
+}
+
 // Check returns an error that names the first unusable field. File is the
 // settings file that they come from.
 func (e *Entry) Check(file string) error {
