internal/standin/soak: bounds run from the end of the last disturbance

Change: a bound runs from the end of the last disturbance of store and daemon; leaving targets serve 9 s longer, data centres stay out 9 s at least.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -13,6 +13,8 @@
 type faultKind struct {
 	name string
 	run  func(s *System) (heal func())
+	// least is how long it lasts at least.
+	least time.Duration
 }
 
 // kinds are the faults, in a fixed order.
@@ -22,7 +24,7 @@
 		done := d.calm.disturb()
 		d.stop(syscall.SIGKILL)
 		return func() { s.restart(d); done() }
-	}},
+	}, 0},
 	{"all daemons killed", func(s *System) func() {
 		var heals []func()
 		for _, d := range s.daemons {
@@ -35,23 +37,23 @@
 				h()
 			}
 		}
-	}},
+	}, 0},
 	{"daemon stopped", func(s *System) func() {
 		d := s.pickDaemon()
 		done := d.calm.disturb()
 		d.stop(syscall.SIGTERM)
 		return func() { s.restart(d); done() }
-	}},
+	}, 0},
 	{"daemon paused", func(s *System) func() {
 		d := s.pickDaemon()
 		done := d.calm.disturb()
 		d.signal(syscall.SIGSTOP)
 		return func() { d.signal(syscall.SIGCONT); done() }
-	}},
+	}, 0},
 	{"settings read again", func(s *System) func() {
 		s.pickDaemon().signal(syscall.SIGHUP)
 		return func() {}
-	}},
+	}, 0},
 	{"packets to a daemon lost", func(s *System) func() {
 		d := s.pickDaemon()
 		done := d.calm.disturb()
@@ -64,33 +66,33 @@
 			d.mu.Unlock()
 			done()
 		}
-	}},
+	}, 0},
 	{"daemon turned away by the store", func(s *System) func() {
 		d := s.pickDaemon()
 		done := d.calm.disturb()
 		d.store.away.Store(true)
 		return func() { d.store.away.Store(false); done() }
-	}},
-	{"store down", storeFault(plat.Fault{Down: true}, true)},
-	{"store silent", storeFault(plat.Fault{Silent: true}, true)},
-	{"store slow", storeFault(plat.Fault{DelayMilliseconds: 400}, false)},
+	}, 0},
+	{"store down", storeFault(plat.Fault{Down: true}, true), 0},
+	{"store silent", storeFault(plat.Fault{Silent: true}, true), 0},
+	{"store slow", storeFault(plat.Fault{DelayMilliseconds: 400}, false), 0},
 	{"store forgets", func(s *System) func() {
 		done := s.judge.store.disturb()
 		s.store.Compact()
 		return done
-	}},
+	}, 0},
 	{"target dark", func(s *System) func() {
 		t := s.pickTarget()
 		done := t.calm.disturb()
 		t.setDark(true)
 		return func() { t.setDark(false); t.beat(); done() }
-	}},
+	}, 0},
 	{"target crashes", func(s *System) func() {
 		t := s.pickTarget()
 		done := t.calm.disturb()
 		t.restart()
 		return done
-	}},
+	}, 0},
 	{"target replaced", func(s *System) func() {
 		s.mu.Lock()
 		n := len(s.targets)
@@ -99,7 +101,7 @@
 			s.pickTarget().leave()
 		}
 		return func() {}
-	}},
+	}, 0},
 	{"route added and removed", func(s *System) func() {
 		s.mu.Lock()
 		n := len(s.routes)
@@ -113,7 +115,7 @@
 			r.mu.Unlock()
 			s.writeTable()
 		}
-	}},
+	}, 0},
 	{"data centre out", func(s *System) func() {
 		z := s.zones[s.rand()%3]
 		if !z.outSince().IsZero() {
@@ -125,7 +127,7 @@
 			z.setOut(time.Time{})
 			s.store.Drop(outsKind, z.name)
 		}
-	}},
+	}, outBound + 4*time.Second},
 }
 
 // storeFault is a fault of the whole store. Targets write no heartbeats while
@@ -203,7 +205,7 @@
 		if _, ok := running[k.name]; !ok && len(running) < 4 {
 			s.injected[k.name]++
 			heal := k.run(s)
-			running[k.name] = open{at: time.Now().Add(time.Duration(200+s.rand()%6000) * time.Millisecond), heal: heal}
+			running[k.name] = open{at: time.Now().Add(k.least + time.Duration(200+s.rand()%6000)*time.Millisecond), heal: heal}
 		}
 		s.sleep(100, 2000)
 	}
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// until returns when the last disturbance ended; it reports false while one
+// goes on.
+func (c *calm) until() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last, c.now == 0
+}
+
 // since reports whether nothing disturbed it since a time, nor in the stable
 // window before.
 func (c *calm) since(t time.Time) bool {
@@ -86,7 +94,17 @@
 		off = r.removed()
 	}
 	drain, out := t.leaving(), t.zone.outSince()
-	calm := d != nil && d.calm.since(now)
+	// A bound runs from the end of the last disturbance of the store and of
+	// the daemon.
+	var healed, at time.Time
+	calm := d != nil
+	if calm {
+		healed, calm = d.calm.until()
+	}
+	at, quiet := j.store.until()
+	if calm = calm && quiet; at.After(healed) {
+		healed = at
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.checks += 4
@@ -98,7 +116,7 @@
 		j.fail("wrong pool", "target %s of %s got a flow of route %s", t.id, t.pool, r.name)
 	}
 	late := func(at time.Time, bound time.Duration) bool {
-		return calm && !at.IsZero() && now.Sub(at) > bound+slack && j.store.since(at)
+		return calm && !at.IsZero() && now.Sub(at) > bound+slack && now.Sub(healed) > bound+slack
 	}
 	if late(drain, drainBound) {
 		j.fail("leaving target", "target %s, draining for %s, got a flow through %s", t.id, now.Sub(drain), d.id)
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -12,6 +12,9 @@
 	"coltsfootdock/platform"
 )
 
+// lingers is how long a target that drains still serves.
+const lingers = drainBound + 9*time.Second
+
 // zone is a data centre.
 type zone struct {
 	name string
@@ -120,7 +123,7 @@
 	t.drain = time.Now()
 	t.mu.Unlock()
 	t.beat()
-	t.sys.after(drainBound+2*time.Second, func() {
+	t.sys.after(lingers, func() {
 		t.mu.Lock()
 		t.gone = true
 		t.flows = nil
