--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -84,7 +84,9 @@
 
 // Summary takes word from a daemon itself. It reports false if the word is
 // late, a copy or its own.
-func (c *Crowd) Summary(now clock.Milli, from netip.AddrPort, id schema.VMID, dc schema.DataCentreID, incarnation, seq uint64, leaving bool) bool {
+func (c *Crowd) Summary(
+	now clock.Milli, from netip.AddrPort, id schema.VMID, dc schema.DataCentreID, incarnation, seq uint64, leaving bool,
+) bool {
 	if from == c.self {
 		return false
 	}
--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -246,7 +246,8 @@
 	}
 }
 
-// dark reports whether traffic shows that a target answers nobody. A daemon that hears no target at all can't tell.
+// dark reports whether traffic shows that a target answers nobody. A daemon
+// that hears no target at all can't tell.
 func (c *Core) dark(now clock.Milli, t *Target) bool {
 	if t.gone || c.Deaf(now) {
 		return false
--- a/internal/entry/lines.go
+++ b/internal/entry/lines.go
@@ -111,7 +111,9 @@
 }
 
 // decision writes what was decided about a packet, and by which knowledge.
-func (l *lines) decision(s *flow.Segment, v *steer.Verdict, configAge, targetsAge clock.Milli, revs [fleet.Topics]schema.Version) {
+func (l *lines) decision(
+	s *flow.Segment, v *steer.Verdict, configAge, targetsAge clock.Milli, revs [fleet.Topics]schema.Version,
+) {
 	if !l.limit.Allow() {
 		l.mu.Lock()
 		l.omit()
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -22,9 +22,12 @@
 	"syscall"
 	"time"
 
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/setup"
 	"coltsfootdock/internal/standin/plat"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
 	"coltsfootdock/platform"
 )
 
@@ -315,33 +318,36 @@
 	return nil
 }
 
-// settings returns the platform's settings file of a daemon.
-func (s *System) settings(d *daemon) string {
-	return fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = %q
-internalPortRange = [%d, %d]
-seeds = ["%s:1", "%s:1", "%s:1"]
-heartbeatMs = %d
-[bindAddrs]
-datagramAddr = "%s:%d"
-ready = "%s:%d"
-[bounds]
-drainMs = %d
-configApplyMs = %d
-evacuateMs = %d
-stableWindowMs = %d
-graceS = 6
-[platform]
-address = %q
-`, d.id, d.host, d.zone.name, peerPort, peerPort+1, s.opts.host(1, 0), s.opts.host(1, 1), s.opts.host(1, 99), beatEvery.Milliseconds(), d.host, packetPort, d.host, readyPort,
-		drainBound.Milliseconds(), applyBound.Milliseconds(), outBound.Milliseconds(), stable.Milliseconds(), d.store.listener.Addr())
+// settings returns the settings of a daemon. One of its seeds is stale.
+func (s *System) settings(d *daemon) *setup.Entry {
+	return &setup.Entry{
+		ID:         schema.VMID(d.id),
+		DataCentre: schema.DataCentreID(d.zone.name),
+		Data:       d.data,
+		Ready:      netip.AddrPortFrom(d.host, readyPort),
+		Peer:       netip.AddrPortFrom(d.host, peerPort),
+		Store:      d.store.listener.Addr().(*net.TCPAddr).AddrPort(),
+		Seeds:      []netip.Addr{s.opts.host(1, 0), s.opts.host(1, 1), s.opts.host(1, 99)},
+		Bounds: setup.Bounds{
+			Apply:     clock.FromDuration(applyBound),
+			Drain:     clock.FromDuration(drainBound),
+			Out:       clock.FromDuration(outBound),
+			Grace:     6 * clock.Second,
+			Stable:    clock.FromDuration(stable),
+			FlowLife:  clock.Minute,
+			Heartbeat: clock.FromDuration(beatEvery),
+		},
+	}
 }
 
 // start runs a daemon's process.
 func (s *System) start(d *daemon) error {
 	path := filepath.Join(s.opts.Dir, d.id+".toml")
-	if err := os.WriteFile(path, []byte(s.settings(d)), 0o600); err != nil {
+	text, err := platform.PackSettings(s.settings(d))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
 	cmd := exec.Command(s.opts.Daemon, "entry", "--config", path)
