internal/coordination/daemon, member: a daemon that hears few others is asked by nobody

The trace of a broken session (packets, verdicts, targets) shows all of its packets passed to the flow's first home, the daemon that hears no peer, which drops them as it has no quorum. Its own heartbeats arrive, so the others took it for a home and, where it was the planner of the list, waited for it to rewrite the list. It passed when another daemon was the planner.

Change: a heartbeat tells whether its sender hears less than most of the list. Such a peer has no duties and counts as a dead home for daemons that hear most; sides of a cut, where nobody hears most, go on as before.

internal/e2e: addresses below the kernel's range for sockets that ask for any. The stand-in client names the broken session.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -68,6 +68,18 @@
 		drain(w, p)
 	}},
 	{name: "daemon deaf and cut from platform over drain", act: isolate},
+	{name: "daemon deaf over drain, platform reached", act: func(w *world, p *schema.Pool) {
+		w.nodes[1].deaf = true
+		w.run(500)
+		drain(w, p)
+	}},
+	{name: "planner of the homes deaf over drain, platform reached", act: func(w *world, p *schema.Pool) {
+		for _, n := range w.nodes {
+			n.deaf = n.m.set.Rank(n.time(), homesPlanner, true) == 0
+		}
+		w.run(500)
+		drain(w, p)
+	}},
 	{name: "platform down after drain", act: func(w *world, p *schema.Pool) {
 		drain(w, p)
 		w.run(600)
--- a/internal/coordination/daemon/home.go
+++ b/internal/coordination/daemon/home.go
@@ -15,7 +15,8 @@
 // home returns the flow's first live home that is none of the given daemons,
 // or nil.
 //
-// While a list of homes takes effect, the homes under the list before and
+// A home that hears few other daemons counts as dead while this one hears
+// most. While a list of homes takes effect, the homes under the list before and
 // after count too: other daemons may go by that one.
 func (d *decision) home(not ...peer.Num) *member.Peer {
 	pairs := [...]homes.Pair{d.m.homes.Pair(d.hash), {}, {}}
@@ -25,7 +26,7 @@
 	for i := range pairs {
 		for _, n := range pairs[i].Num[:pairs[i].N] {
 			p := d.m.set.ByNum(n)
-			if p != nil && p.Alive(d.now) && !slices.Contains(not, n) {
+			if p != nil && p.Preferred(d.now) && !slices.Contains(not, n) {
 				return p
 			}
 		}
--- a/internal/coordination/daemon/machine.go
+++ b/internal/coordination/daemon/machine.go
@@ -229,6 +229,7 @@
 func (m *Machine) Tick(now clock.Milli) Output {
 	m.updateReady(now)
 	m.set.Tick(now, m.ready, m.retired(), m.reaches(now))
+	m.set.SetAlone(!m.quorum(now))
 	if m.ready {
 		m.view.Activate(now, m.set.Acked(now, m.view.Revision()))
 	}
--- a/internal/coordination/member/gossip.go
+++ b/internal/coordination/member/gossip.go
@@ -17,6 +17,7 @@
 		Ready:    s.ready,
 		Platform: s.platform,
 		Blind:    s.Blind(now, rev),
+		Alone:    s.alone,
 		Out:      s.out,
 	}
 	if to.beats%memberEvery == 0 {
@@ -89,7 +90,7 @@
 		p.Member = *h.Member
 	}
 	p.Ready, p.Out, p.Platform, p.Revision = h.Ready, h.Out, h.Platform, h.Revision
-	p.Blind = h.Blind
+	p.Blind, p.Alone = h.Blind, h.Alone
 	p.Heard, p.lastTime, p.lastAt = now, h.Time, now
 	s.newest = max(s.newest, h.Revision)
 	if h.Echo == 0 {
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -68,6 +68,8 @@
 	Platform bool
 	// Blind is set while the daemon said that its view is old.
 	Blind bool
+	// Alone is set while the daemon said that it hears few others.
+	Alone bool
 	// lastTime and lastAt are the peer's clock and ours at its newest
 	// heartbeat, for the echo.
 	lastTime clock.Milli
@@ -89,6 +91,7 @@
 	ready     bool
 	out       bool
 	platform  bool
+	alone     bool
 	lastTick  clock.Milli
 	round     uint64
 }
@@ -187,6 +190,16 @@
 	s.lastTick, s.ready, s.out, s.platform = now, ready, out, platform
 }
 
+// SetAlone notes whether this daemon hears less than most of the homes.
+func (s *Set) SetAlone(alone bool) { s.alone = alone }
+
+// Preferred reports whether the peer is alive, and not one that hears few
+// others while this daemon hears most: such a peer decides nothing, and packets
+// passed to it would wait for as long as it is deaf.
+func (p *Peer) Preferred(now clock.Milli) bool {
+	return p.Alive(now) && (p.set.alone || !p.Alone)
+}
+
 // Alive reports whether the peer was heard lately, here or by another daemon.
 // What others heard counts, so that daemons with lossy or cut links between
 // them still agree on the homes.
@@ -208,7 +221,7 @@
 
 // Fit reports whether the peer is alive and may have duties.
 func (p *Peer) Fit(now clock.Milli) bool {
-	return p.Alive(now) && p.Ready && !p.Out && !p.Blind
+	return p.Preferred(now) && p.Ready && !p.Out && !p.Blind
 }
 
 // Met reports whether every live peer answered this daemon, or enough of a
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -57,14 +58,25 @@
 	peer   *fault.Proxy
 }
 
-// free returns a loopback address that is free for TCP and UDP.
+// firstPort is below the ports that the kernel gives to sockets that ask for
+// any, so that none of those takes an address before its process binds it.
+const firstPort = 10000
+
+var lastPort atomic.Uint32
+
+// free returns an address that is free for TCP and UDP, on a loopback host of
+// this test process's own.
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(100 + pid%100), byte(pid / 100), byte(1 + pid/25600%250)})
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
-		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		addr := netip.AddrPortFrom(host, uint16(firstPort+lastPort.Add(1)%20000))
+		l, err := net.Listen("tcp4", addr.String())
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 		require.NoError(t, l.Close())
 		if err == nil {
 			require.NoError(t, u.Close())
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -72,6 +72,9 @@
 	Ready bool
 	// Blind is set while the sender knows that its view is old or can't tell.
 	Blind bool
+	// Alone is set while the sender hears less than most of the homes, so
+	// that it may neither plan nor decide without a flow's other home.
+	Alone bool
 	// Out is set while the sender leaves or is marked out.
 	Out    bool
 	Heard  []Heard
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -231,6 +231,7 @@
 			err = fmt.Errorf("session moved from %q to %q", first, got)
 		}
 		if err != nil {
+			err = fmt.Errorf("session %s-%d from port %d on %q, request %d: %w", l.Prefix, i, s.conn.self.Port, first, n, err)
 			res.Broken.Add(1)
 			res.note(err)
 			return
