internal/coordination/daemon, member: first packets that waited out a pause open nothing

The trace of a broken session: two copies of its first packet waited 3.9 s in the paused daemon's socket, while it opened through another daemon on a target that then drained. The daemon went on and passed the copies to the flow's home. There they looked like a new flow under a used key: the first made all daemons forget the record, the second opened the flow on another target.

Ruled out: homes and quorum (all answered in order), the store's client.

Change: for 250 ms after a pause of a second or more, and until the first tick, first packets and notes are dropped with the reason "waited"; clients repeat the ones that still matter.

--- a/internal/coordination/daemon/change_test.go
+++ b/internal/coordination/daemon/change_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// Load: copies of first packets wait in a paused daemon's queue while their
+// flows open through others and their targets drain. QUIC sends two at once.
+// Found by TestSessionsSurvive (internal/e2e): a flow moved to another target
+// when the daemon went on.
+func TestFirstPacketsThatWaitedOpenNothing(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w, p := today(seed, 100, 20, 20*clock.Second)
+		paused := w.nodes[1]
+		paused.freeze(6 * clock.Second)
+		w.run(700) // peers' heartbeats come before the packets
+		for range 200 {
+			c := w.open(desk, deskVNI, -1, 500)
+			for range 2 {
+				paused.to(func() { paused.packet(c, geneve.Packet{Key: c.key, Open: true}) })
+			}
+		}
+		w.run(500)
+		drain(w, p)
+		w.run(20 * clock.Second)
+		require.Zero(t, w.stats.broken, "seed %d: %v", seed, w.why)
+	}
+}
+
 // isolate keeps one daemon's view old, while the fabric still sends to it.
 func isolate(w *world, p *schema.Pool) {
 	w.nodes[1].deaf, w.nodes[1].cutOff = true, true
--- a/internal/coordination/daemon/decide.go
+++ b/internal/coordination/daemon/decide.go
@@ -18,6 +18,11 @@
 	if p.Relay.Step != geneve.FromFabric && m.set.ByNum(p.Relay.From) == nil {
 		return drop(UnknownPeer)
 	}
+	if (p.Open || p.Relay.Step == geneve.Note) && m.set.Backlogged(now) {
+		// A first packet that waited may be older than its flow: it would
+		// open another. Clients repeat those that still matter.
+		return drop(Waited)
+	}
 	if p.Relay.Step == geneve.Note {
 		m.records.Put(now, p.Key, p.Relay.Target)
 		m.records.Touch(now, p.Key, p.Relay.Opening)
--- a/internal/coordination/daemon/verdict.go
+++ b/internal/coordination/daemon/verdict.go
@@ -38,6 +38,7 @@
 	TooManyHops
 	KeyReused
 	IsNote
+	Waited
 
 	// Reasons is the number of reasons.
 	Reasons
@@ -45,7 +46,7 @@
 
 var reasonNames = [Reasons]string{
 	"none", "no_route", "no_pool", "no_target", "not_ready", "over_budget",
-	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "too_many_hops", "key_reused", "note",
+	"target_out", "unknown_peer", "old_view", "no_home", "no_quorum", "too_many_hops", "key_reused", "note", "waited",
 }
 
 // String returns the name used in metrics.
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -47,6 +47,8 @@
 	memberEvery = 8
 	// pause is a gap between ticks that shows that this process was stopped.
 	pause = 1000 * clock.Milli(1)
+	// backlog is how long after such a gap packets still come from queues.
+	backlog = 250 * clock.Milli(1)
 )
 
 // Peer is another daemon as this one sees it.
@@ -93,7 +95,9 @@
 	platform  bool
 	alone     bool
 	lastTick  clock.Milli
-	round     uint64
+	// resumed is when this process last went on after a pause.
+	resumed clock.Milli
+	round   uint64
 }
 
 // New returns a set that holds only this daemon. Boot must differ between
@@ -107,6 +111,7 @@
 		peers:     make(map[schema.VMID]*Peer),
 		nums:      make(map[peer.Num]*Peer),
 		confirmed: clock.Never,
+		resumed:   clock.Never,
 	}
 }
 
@@ -186,6 +191,7 @@
 				p.Heard += gap
 			}
 		}
+		s.resumed = now
 	}
 	s.lastTick, s.ready, s.out, s.platform = now, ready, out, platform
 }
@@ -200,6 +206,12 @@
 	return p.Alive(now) && (p.set.alone || !p.Alone)
 }
 
+// Backlogged reports whether packets may have waited in this process's queues
+// while it did not run, for any time.
+func (s *Set) Backlogged(now clock.Milli) bool {
+	return s.lastTick != 0 && now-s.lastTick > pause || now-s.resumed <= backlog
+}
+
 // Alive reports whether the peer was heard lately, here or by another daemon.
 // What others heard counts, so that daemons with lossy or cut links between
 // them still agree on the homes.
