internal/coordination/steer, fresh: no work over what did not change, loads told near, doubts condemn nobody

Cause, processor: at 300 daemons and 3,000 targets each change compiled all targets, each tick walked all of them three times, and each new flow asked the crowd who admits for each target. Cause, bytes: summaries with loads went to four peers anywhere, also the early ones that only carry news.

When the fabric spreads flows anew, flows go on through other daemons, and such misses ended idle flows of targets that served. Ruled out: removed entries (none of the targets was gone), compiling by changes (the test shows it without any change).

Change: targets are compiled one by one; ticks walk suspects only; opens search this data centre's targets, and the others' only if those are loaded; peers are kept in rank order. Large crowds tell three near peers and one far, loads only in the regular summaries. A miss is sure once its client sent a packet again; flows are ended and readiness withdrawn on sure misses only, new flows are kept away on all.

--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -19,8 +19,11 @@
 	forgetAfter = clock.Minute
 	// fullMesh is the number of peers up to which all get every summary.
 	fullMesh = 10
-	// fanOut is the number of peers that get a summary in a larger crowd.
-	fanOut = 4
+	// nearFanOut and farFanOut are the numbers of peers of this data centre
+	// and of others that get a summary in a larger crowd. Loads matter most
+	// within a data centre, and bytes between them are dear.
+	nearFanOut = 3
+	farFanOut  = 1
 	// tellFirst is the number of peers of the first ranks, tellOthers that of
 	// any others, that a summary names.
 	tellFirst  = 3
@@ -51,8 +54,11 @@
 // Crowd is the set of daemons that this one knows.
 type Crowd struct {
 	self  netip.AddrPort
+	dc    schema.DataCentreID
 	score uint64
 	peers map[netip.AddrPort]*Peer
+	// list holds the peers by rank, the first ones first.
+	list  []*Peer
 	seeds []netip.AddrPort
 	// greet lists the daemons that joined since the last summary.
 	greet []netip.AddrPort
@@ -61,8 +67,8 @@
 }
 
 // NewCrowd returns the crowd of a daemon that knows only its seeds.
-func NewCrowd(self netip.AddrPort, seeds []netip.AddrPort, seed uint64) *Crowd {
-	c := &Crowd{self: self, score: scoreOf(self), peers: make(map[netip.AddrPort]*Peer), seed: seed}
+func NewCrowd(self netip.AddrPort, dc schema.DataCentreID, seeds []netip.AddrPort, seed uint64) *Crowd {
+	c := &Crowd{self: self, dc: dc, score: scoreOf(self), peers: make(map[netip.AddrPort]*Peer), seed: seed}
 	c.SetSeeds(seeds)
 	return c
 }
@@ -90,11 +96,7 @@
 	if from == c.self {
 		return false
 	}
-	p := c.peers[from]
-	if p == nil {
-		p = &Peer{Addr: from, score: scoreOf(from)}
-		c.peers[from] = p
-	}
+	p := c.peer(from)
 	if p.incarnation == incarnation && seq <= p.seq {
 		return false
 	}
@@ -106,17 +108,34 @@
 	return true
 }
 
-// Neighbour takes a peer's word that it heard a daemon at the given time.
-func (c *Crowd) Neighbour(heard clock.Milli, addr netip.AddrPort) {
+// Neighbour takes a peer's word that it heard a daemon, of a data centre that
+// may be unknown, at the given time.
+func (c *Crowd) Neighbour(heard clock.Milli, addr netip.AddrPort, dc schema.DataCentreID) {
 	if addr == c.self {
 		return
 	}
-	p := c.peers[addr]
-	if p == nil {
-		p = &Peer{Addr: addr, heard: heard, direct: clock.Never, score: scoreOf(addr)}
-		c.peers[addr] = p
-	}
+	p := c.peer(addr)
 	p.heard = max(p.heard, heard)
+	if p.DataCentre == "" {
+		p.DataCentre = dc
+	}
+}
+
+// peer returns the peer of an address, which may be new.
+func (c *Crowd) peer(addr netip.AddrPort) *Peer {
+	if p := c.peers[addr]; p != nil {
+		return p
+	}
+	p := &Peer{Addr: addr, heard: clock.Never, direct: clock.Never, score: scoreOf(addr)}
+	c.peers[addr] = p
+	at, _ := slices.BinarySearchFunc(c.list, p, byRank)
+	c.list = slices.Insert(c.list, at, p)
+	return p
+}
+
+// byRank orders peers as all daemons do.
+func byRank(x, y *Peer) int {
+	return cmp.Or(cmp.Compare(x.score, y.score), x.Addr.Compare(y.Addr))
 }
 
 // alive reports whether a peer was heard of lately and stays.
@@ -131,8 +150,8 @@
 // Alive returns the number of peers that live.
 func (c *Crowd) Alive(now clock.Milli) int {
 	n := 0
-	for _, p := range c.peers {
-		if p.alive(now, len(c.peers)) {
+	for _, p := range c.list {
+		if p.alive(now, len(c.list)) {
 			n++
 		}
 	}
@@ -143,8 +162,11 @@
 // share.
 func (c *Crowd) Rank(now clock.Milli) int {
 	n := 0
-	for _, p := range c.peers {
-		if p.alive(now, len(c.peers)) && p.score < c.score {
+	for _, p := range c.list {
+		if p.score >= c.score {
+			break
+		}
+		if p.alive(now, len(c.list)) {
 			n++
 		}
 	}
@@ -155,8 +177,8 @@
 // one of those that live with the highest score for it.
 func (c *Crowd) Admits(now clock.Milli, code fleet.Code) bool {
 	mine := mix(c.score, code)
-	for _, p := range c.peers {
-		if p.alive(now, len(c.peers)) && mix(p.score, code) > mine {
+	for _, p := range c.list {
+		if p.alive(now, len(c.list)) && mix(p.score, code) > mine {
 			return false
 		}
 	}
@@ -178,12 +200,13 @@
 		others = tellNew
 	}
 	named := c.neighbours(now, others)
-	list := c.known(now)
+	near, far := c.known(now)
+	list := slices.Concat(near, far)
 	if len(list) == 0 {
 		return c.seeds, named
 	}
 	if len(list) > fullMesh {
-		list = c.pick(list, fanOut)
+		list = append(c.pick(near, nearFanOut), c.pick(far, farFanOut)...)
 	}
 	if len(c.seeds) > 0 && c.round%16 == 0 {
 		// Crowds that were apart meet again by their seeds.
@@ -205,16 +228,18 @@
 }
 
 // known returns the addresses of the peers heard within the last half minute,
-// in a fixed order.
-func (c *Crowd) known(now clock.Milli) []netip.AddrPort {
-	var list []netip.AddrPort
-	for a, p := range c.peers {
-		if now-p.heard <= forgetAfter/2 {
-			list = append(list, a)
+// of this data centre and of others, in a fixed order.
+func (c *Crowd) known(now clock.Milli) (near, far []netip.AddrPort) {
+	for _, p := range c.list {
+		switch {
+		case now-p.heard > forgetAfter/2:
+		case p.DataCentre == c.dc:
+			near = append(near, p.Addr)
+		default:
+			far = append(far, p.Addr)
 		}
 	}
-	slices.SortFunc(list, netip.AddrPort.Compare)
-	return list
+	return near, far
 }
 
 // pick returns n of a list, others in each round.
@@ -236,12 +261,11 @@
 // to round.
 func (c *Crowd) neighbours(now clock.Milli, n int) []*Peer {
 	var alive []*Peer
-	for _, p := range c.peers {
-		if p.alive(now, len(c.peers)) {
+	for _, p := range c.list {
+		if p.alive(now, len(c.list)) {
 			alive = append(alive, p)
 		}
 	}
-	slices.SortFunc(alive, func(x, y *Peer) int { return cmp.Compare(x.score, y.score) })
 	if len(alive) <= tellFirst+n {
 		return alive
 	}
@@ -258,9 +282,11 @@
 
 // Forget drops peers that fell silent.
 func (c *Crowd) Forget(now clock.Milli) {
-	for a, p := range c.peers {
-		if now-p.heard > forgetAfter {
-			delete(c.peers, a)
+	c.list = slices.DeleteFunc(c.list, func(p *Peer) bool {
+		silent := now-p.heard > forgetAfter
+		if silent {
+			delete(c.peers, p.Addr)
 		}
-	}
+		return silent
+	})
 }
--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -1,8 +1,9 @@
 package steer
 
 import (
+	"slices"
+
 	"coltsfootdock/internal/clock"
-	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
 )
 
@@ -35,41 +36,47 @@
 
 // word is what peers tell of a target's answers.
 type word struct {
-	// tellers is the number of peers that miss answers, misses of how many
-	// flows, since when.
+	// tellers is the number of peers that may miss answers, sure the number
+	// of those that surely do, misses of how many flows, since when.
 	tellers int
+	sure    int
 	misses  int
 	since   clock.Milli
 	// last is when a peer last had an answer.
 	last clock.Milli
 }
 
-// heard takes from a peer's word, told at the given time, when it had an
-// answer.
-func (w *word) heard(told clock.Milli, l *fleet.Load) {
-	if l.Heard < missFor {
-		w.last = max(w.last, told-l.Heard)
-	}
-}
-
-// told takes a peer's misses. Those before an answer that anyone had since
-// say nothing.
-func (a *answers) told(told clock.Milli, l *fleet.Load) {
-	since := told - l.Since
-	if l.Missed == 0 || since <= a.heard() {
-		return
+// told takes a peer's misses and reports whether they say anything: those
+// before an answer that anyone had since don't.
+func (a *answers) told(l *peerLoad) bool {
+	if l.missed == 0 || l.since <= a.heard() {
+		return false
 	}
 	w := &a.peers
-	if w.tellers == 0 || since < w.since {
-		w.since = since
-	}
 	w.tellers++
-	w.misses += int(l.Missed)
+	if l.sure == 0 {
+		return true
+	}
+	if w.sure == 0 || l.since < w.since {
+		w.since = l.since
+	}
+	w.sure++
+	w.misses += l.sure
+	return true
+}
+
+// unanswered is a packet that may have had no answer. That is sure once its
+// client sent it again; until then the flow may have gone on through another
+// daemon.
+type unanswered struct {
+	sent clock.Milli
+	sure bool
 }
 
 // answers is the evidence on whether a target answers, from the packets that
 // pass: a first packet without a second one, or data sent again, counts as a
-// miss, as a target acknowledges both at once, however busy it is.
+// miss, as a target acknowledges both at once, however busy it is. All misses
+// count where new flows are kept away, only sure ones where flows are ended.
 //
 // A target that does not answer is avoided for a while, then tried with one
 // flow; the wait doubles. One daemon, the target's admitter, tries for all;
@@ -77,8 +84,8 @@
 type answers struct {
 	// last is when a flow last showed an answer.
 	last clock.Milli
-	// sent are the times of the packets without an answer, the n latest.
-	sent [keepMisses]clock.Milli
+	// sent are the packets without an answer, the n latest.
+	sent [keepMisses]unanswered
 	n    int
 	// missed is when the last miss was noted.
 	missed clock.Milli
@@ -98,11 +105,14 @@
 }
 
 // miss notes a flow whose packet, sent at the given time, had no answer.
-func (a *answers) miss(now, sent clock.Milli) {
+func (a *answers) miss(now, sent clock.Milli, sure bool) {
 	if a.last > sent {
 		return // the target answered others since
 	}
-	a.sent[a.n%keepMisses] = sent
+	if sure && a.confirm(sent) {
+		return
+	}
+	a.sent[a.n%keepMisses] = unanswered{sent: sent, sure: sure}
 	a.n++
 	a.missed = now
 	a.trial = 0
@@ -112,15 +122,26 @@
 	}
 }
 
-// after returns the number of misses whose packets were sent after a time,
-// and when the first of those was.
-func (a *answers) after(t clock.Milli) (n int, since clock.Milli) {
-	for _, sent := range a.sent[:min(a.n, keepMisses)] {
-		if sent < t {
+// confirm makes a miss that was noted before a sure one.
+func (a *answers) confirm(sent clock.Milli) bool {
+	for i := range a.sent[:min(a.n, keepMisses)] {
+		if u := &a.sent[i]; u.sent == sent && !u.sure {
+			u.sure = true
+			return true
+		}
+	}
+	return false
+}
+
+// after returns the number of misses, or of sure ones, whose packets were sent
+// after a time, and when the first of those was.
+func (a *answers) after(t clock.Milli, sure bool) (n int, since clock.Milli) {
+	for _, u := range a.sent[:min(a.n, keepMisses)] {
+		if u.sent < t || sure && !u.sure {
 			continue
 		}
-		if n == 0 || sent < since {
-			since = sent
+		if n == 0 || u.sent < since {
+			since = u.sent
 		}
 		n++
 	}
@@ -130,16 +151,13 @@
 // silent reports whether flows say that the target does not answer, to this
 // daemon or to all. After a first wait one more miss is enough.
 func (a *answers) silent() bool {
-	own, _ := a.after(a.last)
+	own, _ := a.after(a.last, false)
 	return a.wait > 0 || own >= avoidMisses || own+a.peers.tellers >= avoidMisses
 }
 
-// avoid reports whether new flows should go elsewhere. Tries tells whether
-// this daemon is the one that tries for all.
+// avoid reports whether new flows should go elsewhere than to a silent target.
+// Tries tells whether this daemon is the one that tries for all.
 func (a *answers) avoid(now clock.Milli, tries bool) bool {
-	if !a.silent() {
-		return false
-	}
 	if a.wait == 0 || a.trial != 0 && now-a.trial < 2*answerIn {
 		return true
 	}
@@ -163,7 +181,7 @@
 	}
 }
 
-// evidence adds up what is known of one or several targets' answers.
+// evidence adds up what is known for sure of one or several targets' answers.
 type evidence struct {
 	own     int
 	tellers int
@@ -173,10 +191,16 @@
 	targets int
 }
 
+// add takes the misses of a target that came after it, or another of those
+// that the evidence is about, was last heard.
 func (e *evidence) add(a *answers) {
 	e.last = max(e.last, a.heard())
-	own, since := a.after(a.heard())
-	if own+a.peers.misses == 0 {
+	own, since := a.after(e.last, true)
+	peers := a.peers
+	if peers.since <= e.last {
+		peers.misses, peers.sure = 0, 0
+	}
+	if own+peers.misses == 0 {
 		return
 	}
 	e.targets++
@@ -189,10 +213,10 @@
 		earliest(since)
 		e.own += own
 	}
-	if a.peers.misses > 0 {
-		earliest(a.peers.since)
-		e.tellers = max(e.tellers, a.peers.tellers)
-		e.misses += a.peers.misses
+	if peers.misses > 0 {
+		earliest(peers.since)
+		e.tellers = max(e.tellers, peers.sure)
+		e.misses += peers.misses
 	}
 }
 
@@ -217,24 +241,19 @@
 // answer nobody.
 func (c *Core) judge(now clock.Milli) {
 	clear(c.darkDCs)
-	c.suspects = c.suspects[:0]
-	for _, t := range c.codes {
+	c.suspects = slices.DeleteFunc(c.suspects, func(t *Target) bool {
 		t.answers.expire(now)
-		if !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0) {
-			c.suspects = append(c.suspects, t)
-		}
-	}
+		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0)
+		return !t.suspect
+	})
 	if len(c.suspects) == 0 {
 		return
 	}
 	all := make(map[schema.DataCentreID]*evidence)
-	for _, t := range c.codes {
-		if t.gone {
-			continue
-		}
+	for _, t := range c.suspects {
 		e := all[t.DataCentre]
 		if e == nil {
-			e = &evidence{}
+			e = &evidence{last: c.heardDCs[t.DataCentre]}
 			all[t.DataCentre] = e
 		}
 		e.add(&t.answers)
@@ -246,6 +265,19 @@
 	}
 }
 
+// suspect notes that a target left packets without an answer.
+func (c *Core) suspect(t *Target) {
+	if !t.suspect {
+		t.suspect = true
+		c.suspects = append(c.suspects, t)
+	}
+}
+
+// heard notes that a target was heard by anyone.
+func (c *Core) heard(t *Target, at clock.Milli) {
+	c.heardDCs[t.DataCentre] = max(c.heardDCs[t.DataCentre], at)
+}
+
 // dark reports whether traffic shows that a target answers nobody. A daemon
 // that hears no target at all can't tell.
 func (c *Core) dark(now clock.Milli, t *Target) bool {
@@ -262,7 +294,7 @@
 	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 {
 		return true
 	}
-	return t.answers.avoid(now, c.admitter(t.Code))
+	return t.answers.silent() && t.answers.avoid(now, c.admitter(t.Code))
 }
 
 // Deaf reports whether no target answers this daemon, which is then more
@@ -274,14 +306,25 @@
 // answer notes an answer of a target.
 func (c *Core) answer(now clock.Milli, t *Target) {
 	t.answers.ok(now)
+	c.heard(t, now)
 	c.answered, c.missedAll = now, 0
 }
 
-// miss counts a flow whose packet was sent at the given time against its
-// target, once until it makes progress.
+// doubt counts a flow whose packet, sent at the given time, may have had no
+// answer against its target.
+func (c *Core) doubt(now clock.Milli, r *record, sent clock.Milli) {
+	r.doubted = true
+	r.target.answers.miss(now, sent, false)
+	c.suspect(r.target)
+	c.alarm = true
+}
+
+// miss counts a flow whose client sent a packet again against its target, once
+// until it makes progress.
 func (c *Core) miss(now clock.Milli, r *record, sent clock.Milli) {
-	r.missed = true
-	r.target.answers.miss(now, sent)
+	r.doubted, r.missed = true, true
+	r.target.answers.miss(now, sent, true)
+	c.suspect(r.target)
 	c.missedAll++
 	c.missedAt = now
 	c.alarm = true
--- /dev/null
+++ b/internal/coordination/steer/bench_test.go
@@ -0,0 +1,74 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+// large returns a core that knows n targets in three data centres, with the
+// time at which it does.
+func large(n int) (*Core, []fleet.Target, clock.Milli) {
+	c := New("a", 1)
+	var list []fleet.Target
+	for i := range n {
+		t := target(i+1, schema.DataCentreID([]string{"a", "b", "c"}[i%3]))
+		t.Rev, t.Slots = 3, 2
+		list = append(list, t)
+	}
+	c.Apply(start, &fleet.Update{Topic: fleet.Config, Full: true, Rev: 5, Table: table()})
+	c.Apply(start, &fleet.Update{Topic: fleet.Outs, Full: true, Rev: 5})
+	c.Apply(start, &fleet.Update{Topic: fleet.Targets, Full: true, Rev: 5, Targets: list})
+	return c, list, start
+}
+
+// BenchmarkCore measures decisions by the number of targets.
+func BenchmarkCore(b *testing.B) {
+	for _, n := range []int{18, 150, 467, 3000} {
+		name := func(what string) string { return fmt.Sprintf("%s/%d", what, n) }
+		c, list, now := large(n)
+		s := flow.Segment{Open: true, Tuple: flow.Tuple{Client: [4]byte{100, 64, 0, 1}, Address: again.Addr().As4(), Port: again.Port()}}
+		b.Run(name("open"), func(b *testing.B) {
+			for b.Loop() {
+				s.Tuple.ClientPort++
+				c.Decide(now, &s, true)
+			}
+		})
+		b.Run(name("change"), func(b *testing.B) {
+			rev := c.Book().Rev(fleet.Targets)
+			for b.Loop() {
+				rev++
+				t := list[int(rev)%n]
+				t.Rev, t.Draining = rev, rev%2 == 0
+				c.Apply(now, &fleet.Update{Topic: fleet.Targets, Since: rev - 1, Rev: rev, Targets: []fleet.Target{t}})
+			}
+		})
+		told := make([]fleet.Load, min(n, 70))
+		for i := range told {
+			told[i] = fleet.Load{Code: list[i].Code(), Flows: 2, Busy: 1, Heard: 100}
+		}
+		b.Run(name("summary"), func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				i++
+				c.TakeLoads(now, schema.VMID(fmt.Sprint(i%50)), told, false)
+			}
+		})
+		b.Run(name("tick"), func(b *testing.B) {
+			for b.Loop() {
+				now += 25
+				c.TakeLoads(now, "vm", told[:1], false)
+				c.Tick(now)
+			}
+		})
+		b.Run(name("loads"), func(b *testing.B) {
+			for b.Loop() {
+				c.Loads(now, false)
+			}
+		})
+	}
+}
--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -55,45 +55,71 @@
 	}
 }
 
+// search is the choice of one pool's target for a new flow.
+type search struct {
+	now  clock.Milli
+	pool *pool
+	// not is a target that is left out.
+	not *Target
+	// silent is the one that answered last of those that are avoided.
+	silent best
+	why    Reason
+}
+
 // chooseIn returns the target of a pool for a new flow: one that answers
 // before one that doesn't, and one of this data centre unless the others are
 // clearly freer.
 func (c *Core) chooseIn(now clock.Milli, p *pool, not *Target) (*Target, Reason) {
-	var near, far, silent best
-	why := NoTarget
-	for _, t := range p.targets {
-		if t == not || !c.takes(now, t) {
-			continue
-		}
-		score := t.score() + blur*c.random.Float64()
-		if c.coldLeft(now, t) > 0 {
-			if p.ColdRate > 0 && !t.cold.has(now, p.ColdRate, c.share(t)) {
-				why = ColdBudget
-				continue
-			}
-			score += coldPenalty
-		}
-		switch {
-		case c.avoids(now, t):
-			silent.offer(t, float64(now-t.answers.last))
-		case t.DataCentre == c.home:
-			near.offer(t, score)
-		default:
-			far.offer(t, score)
-		}
-	}
+	s := search{now: now, pool: p, not: not, why: NoTarget}
+	near := c.leastLoaded(&s, p.near)
 	chosen := near.target
-	if chosen == nil || far.target != nil && far.score+farPenalty < near.score {
-		chosen = far.target
+	if chosen == nil || near.score > farPenalty {
+		far := c.leastLoaded(&s, p.far)
+		if far.target != nil && (chosen == nil || far.score+farPenalty < near.score) {
+			chosen = far.target
+		}
 	}
 	if chosen == nil {
-		chosen = silent.target
+		chosen = s.silent.target
 	}
 	if chosen == nil {
-		return nil, why
+		return nil, s.why
 	}
 	if c.coldLeft(now, chosen) > 0 && p.ColdRate > 0 {
 		chosen.cold.take()
 	}
 	return chosen, Opened
 }
+
+// leastLoaded returns the least loaded target of a list, which it searches from
+// a random place until one has no load at all.
+func (c *Core) leastLoaded(s *search, list []*Target) best {
+	var found best
+	if len(list) == 0 {
+		return found
+	}
+	at := c.random.IntN(len(list))
+	for i := range list {
+		t := list[(at+i)%len(list)]
+		if t == s.not || !c.takes(s.now, t) {
+			continue
+		}
+		score := t.score()
+		if c.coldLeft(s.now, t) > 0 {
+			if s.pool.ColdRate > 0 && !t.cold.has(s.now, s.pool.ColdRate, c.share(t)) {
+				s.why = ColdBudget
+				continue
+			}
+			score += coldPenalty
+		}
+		if c.avoids(s.now, t) {
+			s.silent.offer(t, float64(s.now-t.answers.last))
+			continue
+		}
+		if score == 0 {
+			return best{target: t}
+		}
+		found.offer(t, score+blur*c.random.Float64())
+	}
+	return found
+}
--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -9,12 +9,19 @@
 	"coltsfootdock/pkg/schema"
 )
 
-// keepRemoved is how long a removed route is remembered.
-const keepRemoved = clock.Minute
+const (
+	// keepRemoved is how long a removed route is remembered.
+	keepRemoved = clock.Minute
+	// keepGone is how long a target that is gone is remembered.
+	keepGone = 3 * clock.Minute
+)
 
-// compile brings targets, pools and routes in line with the book.
-func (c *Core) compile(now clock.Milli) {
-	c.compileTargets(now)
+// compile brings targets, pools and routes in line with the book. Changed
+// names the targets whose entries changed.
+func (c *Core) compile(now clock.Milli, changed []schema.TargetID) {
+	for _, id := range changed {
+		c.compileTarget(now, id)
+	}
 	if c.table != c.book.Table() {
 		c.table = c.book.Table()
 		c.compileRoutes(now)
@@ -22,49 +29,85 @@
 	c.fillPools()
 }
 
-func (c *Core) compileTargets(now clock.Milli) {
-	present := make(map[fleet.Code]bool, len(c.codes))
-	clear(c.doubled)
-	for _, e := range c.book.Entries() {
-		code := e.Target.Code()
-		t := c.codes[code]
-		if t != nil && t.ID != e.Target.ID {
-			c.double(code, t, e)
-			present[code] = true
-			continue
-		}
-		present[code] = true
-		if t == nil {
-			t = &Target{Code: code, since: now}
-			c.codes[code] = t
-		}
-		wasDraining := t.Draining
-		t.Target = e.Target
-		switch {
-		case e.Gone && !t.gone:
-			t.Draining = wasDraining
-			c.lose(now, t)
-		case !e.Gone:
-			t.gone, t.replaced = false, false
+// compileTarget brings one target in line with its entry.
+func (c *Core) compileTarget(now clock.Milli, id schema.TargetID) {
+	e := c.book.Entry(id)
+	if e == nil {
+		return
+	}
+	code := e.Target.Code()
+	t := c.codes[code]
+	if last := c.starts[id]; last != nil && last != t {
+		c.lose(now, last)
+	}
+	switch {
+	case t == nil:
+		t = &Target{Code: code, since: now}
+		c.codes[code] = t
+		at, _ := slices.BinarySearchFunc(c.list, code, func(t *Target, code fleet.Code) int { return cmp.Compare(t.Code, code) })
+		c.list = slices.Insert(c.list, at, t)
+	case t.ID != id:
+		t = c.double(code, t, id)
+	}
+	c.starts[id] = t
+	wasDraining := t.Draining
+	t.Target = e.Target
+	switch {
+	case e.Gone && !t.gone:
+		t.Draining = wasDraining
+		c.lose(now, t)
+	case !e.Gone:
+		t.gone, t.replaced = false, false
+	}
+}
+
+// double returns the start of a target whose code another one has. Neither
+// takes new flows.
+func (c *Core) double(code fleet.Code, first *Target, id schema.TargetID) *Target {
+	if len(c.doubled[code]) == 0 {
+		c.doubled[code] = []*Target{first}
+	}
+	for _, t := range c.doubled[code] {
+		if t.ID == id {
+			return t
 		}
 	}
-	for code, t := range c.codes {
-		if present[code] {
+	t := &Target{Code: code}
+	c.doubled[code] = append(c.doubled[code], t)
+	return t
+}
+
+// forgetDoubles ends the doubling of codes of which one target is left.
+func (c *Core) forgetDoubles(now clock.Milli) {
+	for code, same := range c.doubled {
+		left := slices.DeleteFunc(slices.Clone(same), func(t *Target) bool { return t.gone && now-t.goneAt > keepGone })
+		if len(left) > 1 {
+			c.doubled[code] = left
 			continue
 		}
-		c.lose(now, t)
-		if now-t.goneAt > 3*clock.Minute {
-			delete(c.codes, code)
+		delete(c.doubled, code)
+		if len(left) == 1 {
+			c.list[slices.Index(c.list, c.codes[code])] = left[0]
+			c.codes[code] = left[0]
 		}
+		c.fillPools()
 	}
 }
 
-// double notes that two targets have one code. Neither takes new flows.
-func (c *Core) double(code fleet.Code, t *Target, e *fleet.Entry) {
-	if len(c.doubled[code]) == 0 {
-		c.doubled[code] = []*Target{t}
-	}
-	c.doubled[code] = append(c.doubled[code], &Target{Target: e.Target, Code: code, gone: e.Gone, goneAt: e.GoneAt})
+// forgetTargets drops the starts of targets that are gone for longer than a
+// flow lives.
+func (c *Core) forgetTargets(now clock.Milli) {
+	c.forgetDoubles(now)
+	c.list = slices.DeleteFunc(c.list, func(t *Target) bool {
+		if !t.gone || now-t.goneAt <= keepGone {
+			return false
+		}
+		delete(c.codes, t.Code)
+		if c.starts[t.ID] == t {
+			delete(c.starts, t.ID)
+		}
+		return true
+	})
 }
 
 func (c *Core) compileRoutes(now clock.Milli) {
@@ -109,19 +152,22 @@
 	return p
 }
 
+// fillPools lists each pool's targets, in the order of their codes.
 func (c *Core) fillPools() {
 	for _, p := range c.pools {
-		p.targets = p.targets[:0]
+		p.near, p.far = p.near[:0], p.far[:0]
 	}
-	for code, t := range c.codes {
-		if t.gone || len(c.doubled[code]) > 0 {
+	for _, t := range c.list {
+		if t.gone || len(c.doubled[t.Code]) > 0 {
 			continue
 		}
-		if p := c.pools[t.Pool]; p != nil {
-			p.targets = append(p.targets, t)
+		p := c.pools[t.Pool]
+		switch {
+		case p == nil:
+		case t.DataCentre == c.home:
+			p.near = append(p.near, t)
+		default:
+			p.far = append(p.far, t)
 		}
 	}
-	for _, p := range c.pools {
-		slices.SortFunc(p.targets, func(x, y *Target) int { return cmp.Compare(x.Code, y.Code) })
-	}
 }
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -36,8 +36,11 @@
 	sent clock.Milli
 	// progress is when the client last acknowledged something new.
 	progress clock.Milli
-	missed   bool
-	closed   bool
+	// doubted and missed are set once the flow counts as a miss, and as a
+	// sure one.
+	doubted bool
+	missed  bool
+	closed  bool
 }
 
 // flowTable is a bounded set of records.
@@ -102,7 +105,7 @@
 		r.ack = s.Ack
 	}
 	if answered {
-		r.asked, r.progress, r.missed = 0, now, false
+		r.asked, r.progress, r.doubted, r.missed = 0, now, false, false
 	}
 	if s.Len > 0 {
 		switch {
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -39,64 +39,110 @@
 	return work / float64(max(1, t.Slots))
 }
 
-// peerLoads is the last word of one peer.
+// peerLoad is what a peer told of one target, with times of this daemon.
+type peerLoad struct {
+	code   fleet.Code
+	flows  int
+	busy   int
+	missed int
+	sure   int
+	// since is when the first of the packets without an answer was sent.
+	since clock.Milli
+}
+
+// peerLoads is the last word of one peer, in the order of the codes.
 type peerLoads struct {
 	at    clock.Milli
-	loads []fleet.Load
+	loads []peerLoad
 }
 
-// Loads returns what this daemon knows at first hand of the targets.
-func (c *Core) Loads(now clock.Milli) []fleet.Load {
+// Loads returns what this daemon knows at first hand of the targets. Misses
+// limits that to the targets that leave packets without an answer.
+func (c *Core) Loads(now clock.Milli, misses bool) []fleet.Load {
 	var list []fleet.Load
-	for code, t := range c.codes {
-		missed, since := t.answers.after(t.answers.heard())
-		if t.load.flows == 0 && missed == 0 && now-t.answers.last > missFor || t.gone {
+	for _, t := range c.list {
+		missed, sure, since := 0, 0, clock.Milli(0)
+		if t.answers.n > 0 {
+			missed, since = t.answers.after(t.answers.heard(), false)
+			if n, first := t.answers.after(t.answers.heard(), true); n > 0 {
+				sure, since = n, first
+			}
+		}
+		if t.gone || missed == 0 && (misses || t.load.flows == 0 && now-t.answers.last > missFor) {
 			continue
 		}
 		list = append(list, fleet.Load{
-			Code:   code,
+			Code:   t.Code,
 			Flows:  uint16(min(t.load.flows, 1<<16-1)),
 			Busy:   uint16(min(t.load.busy, 1<<16-1)),
 			Missed: uint16(missed),
+			Sure:   uint16(sure),
 			Since:  now - since,
 			Heard:  now - t.answers.last,
 		})
 	}
-	slices.SortFunc(list, func(x, y fleet.Load) int { return cmp.Compare(x.Code, y.Code) })
 	return list
 }
 
-// TakeLoads takes what a peer told.
-func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load) {
-	c.peers[from] = &peerLoads{at: now, loads: list}
+// TakeLoads takes what a peer told: of all targets that it uses, or only of
+// those that it misses answers of.
+func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load, misses bool) {
+	p := c.peers[from]
+	if p == nil || !misses {
+		p = &peerLoads{at: now, loads: make([]peerLoad, 0, len(list))}
+		c.peers[from] = p
+	}
+	for i := range list {
+		l := &list[i]
+		c.missesTold = c.missesTold || l.Missed > 0
+		if l.Heard < missFor {
+			c.peerHeard(l.Code, now-l.Heard)
+		}
+		p.put(peerLoad{code: l.Code, flows: int(l.Flows), busy: int(l.Busy), missed: int(l.Missed), sure: int(l.Sure), since: now - l.Since})
+	}
 	c.dirty = true
 }
 
+// put takes word of one target.
+func (p *peerLoads) put(l peerLoad) {
+	at, found := slices.BinarySearchFunc(p.loads, l.code, func(l peerLoad, code fleet.Code) int { return cmp.Compare(l.code, code) })
+	if found {
+		p.loads[at] = l
+		return
+	}
+	p.loads = slices.Insert(p.loads, at, l)
+}
+
+// peerHeard notes that a target answered a peer.
+func (c *Core) peerHeard(code fleet.Code, at clock.Milli) {
+	if t := c.codes[code]; t != nil {
+		t.answers.peers.last = max(t.answers.peers.last, at)
+		c.heard(t, at)
+	}
+}
+
 // sumLoads adds up what the peers told lately.
 func (c *Core) sumLoads(now clock.Milli) {
-	c.dirty = false
-	for _, t := range c.codes {
+	c.dirty, c.missesTold, c.lastSum = false, false, now
+	for _, t := range c.list {
 		t.load.peerFlows, t.load.peerBusy = 0, 0
-		t.answers.peers = word{}
+		t.answers.peers = word{last: t.answers.peers.last}
 	}
-	c.eachLoad(now, func(p *peerLoads, l *fleet.Load, t *Target) {
-		t.load.peerFlows += int(l.Flows)
-		t.load.peerBusy += int(l.Busy)
-		t.answers.peers.heard(p.at, l)
-	})
-	c.eachLoad(now, func(p *peerLoads, l *fleet.Load, t *Target) { t.answers.told(p.at, l) })
-}
-
-// eachLoad calls f for all that the peers told lately.
-func (c *Core) eachLoad(now clock.Milli, f func(p *peerLoads, l *fleet.Load, t *Target)) {
 	for id, p := range c.peers {
 		if now-p.at > loadsFor {
 			delete(c.peers, id)
 			continue
 		}
 		for i := range p.loads {
-			if t := c.codes[p.loads[i].Code]; t != nil {
-				f(p, &p.loads[i], t)
+			l := &p.loads[i]
+			t := c.codes[l.code]
+			if t == nil {
+				continue
+			}
+			t.load.peerFlows += l.flows
+			t.load.peerBusy += l.busy
+			if t.answers.told(l) {
+				c.suspect(t)
 			}
 		}
 	}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -2,13 +2,18 @@
 
 import "coltsfootdock/internal/clock"
 
-// scanEvery is the time between two scans of all flows.
-const scanEvery = 250 * clock.Milli(1)
+const (
+	// scanEvery is the time between two scans of all flows.
+	scanEvery = 250 * clock.Milli(1)
+	// sumEvery is the time between two sums of what peers told, if no misses
+	// are among it.
+	sumEvery = 100 * clock.Milli(1)
+)
 
 // Tick advances time. It must be called many times a second.
 func (c *Core) Tick(now clock.Milli) {
 	c.overdue(now)
-	if c.dirty {
+	if c.missesTold || c.dirty && now-c.lastSum >= sumEvery {
 		c.sumLoads(now)
 	}
 	c.judge(now)
@@ -20,17 +25,17 @@
 	c.scan(now)
 	c.sumLoads(now)
 	c.book.Forget(now)
+	c.forgetTargets(now)
 }
 
-// overdue counts the first packets that were not answered in time against
-// their targets.
+// overdue notes the first packets whose flows did not go on in time.
 func (c *Core) overdue(now clock.Milli) {
 	list := c.flows.opening
 	n := 0
 	for n < len(list) && now-list[n].opened >= answerIn {
 		r := c.flows.records[list[n].tuple]
-		if r != nil && r.opened == list[n].opened && !r.missed {
-			c.miss(now, r, r.opened)
+		if r != nil && r.opened == list[n].opened && !r.doubted {
+			c.doubt(now, r, r.opened)
 		}
 		n++
 	}
@@ -42,7 +47,7 @@
 // scan forgets flows that ended or fell silent, counts each target's load
 // anew, and ends the idle flows of targets that are gone.
 func (c *Core) scan(now clock.Milli) {
-	for _, t := range c.codes {
+	for _, t := range c.list {
 		t.load.flows, t.load.busy = 0, 0
 	}
 	for tuple, r := range c.flows.records {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -101,6 +101,8 @@
 	// drained is set if the target was draining when its entry went.
 	drained bool
 	since   clock.Milli
+	// suspect is set while the target is among the core's suspects.
+	suspect bool
 	load    load
 	answers answers
 	cold    budget
@@ -116,7 +118,9 @@
 // pool is the set of targets that serve one name.
 type pool struct {
 	fleet.Pool
-	targets []*Target
+	// near and far are the targets of this data centre and of others.
+	near []*Target
+	far  []*Target
 }
 
 // serviceKey is the address of a route.
@@ -132,7 +136,11 @@
 	book   *fleet.Book
 	random *rand.Rand
 
+	// list holds all starts of targets in the order of their codes, starts
+	// the latest of each target.
+	list     []*Target
 	codes    map[fleet.Code]*Target
+	starts   map[schema.TargetID]*Target
 	doubled  map[fleet.Code][]*Target
 	routes   map[serviceKey]*Route
 	removed  map[serviceKey]clock.Milli
@@ -148,16 +156,21 @@
 	resets   []Ended
 	// suspects are the targets that left packets without an answer.
 	suspects []*Target
-	// darkDCs are the data centres whose targets answer nobody.
-	darkDCs map[schema.DataCentreID]bool
+	// darkDCs are the data centres whose targets answer nobody, heardDCs when
+	// a target of each was last heard by anyone.
+	darkDCs  map[schema.DataCentreID]bool
+	heardDCs map[schema.DataCentreID]clock.Milli
 	// answered is when any target last answered, missedAll counts the misses
 	// since, missedAt is the time of the last.
 	answered  clock.Milli
 	missedAll int
 	missedAt  clock.Milli
 	alarm     bool
-	// dirty is set if peers told loads that are not added up yet.
-	dirty bool
+	// dirty is set if peers told loads that are not added up yet, missesTold
+	// if misses are among them; lastSum is when they last were.
+	dirty      bool
+	missesTold bool
+	lastSum    clock.Milli
 }
 
 // Ended is a flow that is to be reset although none of its packets came.
@@ -176,6 +189,7 @@
 		book:     fleet.NewBook(),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		codes:    make(map[fleet.Code]*Target),
+		starts:   make(map[schema.TargetID]*Target),
 		doubled:  make(map[fleet.Code][]*Target),
 		routes:   make(map[serviceKey]*Route),
 		removed:  make(map[serviceKey]clock.Milli),
@@ -185,7 +199,9 @@
 		admitter: func(fleet.Code) bool { return true },
 		troubled: clock.Never,
 		lastScan: clock.Never,
+		lastSum:  clock.Never,
 		darkDCs:  make(map[schema.DataCentreID]bool),
+		heardDCs: make(map[schema.DataCentreID]clock.Milli),
 		answered: clock.Never,
 		missedAt: clock.Never,
 	}
@@ -209,7 +225,7 @@
 		}
 	}
 	if ch.News {
-		c.compile(now)
+		c.compile(now, ch.Targets)
 	}
 	return ch.News
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,14 +66,16 @@
 	incarnation uint64
 	seq         uint64
 	lastTick    clock.Milli
-	lastTell    clock.Milli
-	news        bool
-	troubled    clock.Milli
-	held        []heldPacket
-	leaving     bool
-	leftAt      clock.Milli
-	lastPacket  clock.Milli
-	wasReady    bool
+	// lastTell is when loads were last told, lastNews when anything was.
+	lastTell   clock.Milli
+	lastNews   clock.Milli
+	news       bool
+	troubled   clock.Milli
+	held       []heldPacket
+	leaving    bool
+	leftAt     clock.Milli
+	lastPacket clock.Milli
+	wasReady   bool
 
 	plane *edge.Plane
 	peers *sock.UDP
@@ -99,6 +101,7 @@
 		reader:      fresh.New(tightest(cfg.Bounds), incarnation),
 		incarnation: incarnation,
 		lastTell:    clock.Never,
+		lastNews:    clock.Never,
 		lastPacket:  clock.Never,
 		troubled:    clock.Never,
 		calls:       make(chan fresh.Call, 1),
@@ -108,7 +111,7 @@
 	}
 	d.metrics = newMeters(d)
 	d.log = newLines(log, string(cfg.ID), d.metrics)
-	d.crowd = fresh.NewCrowd(cfg.Peer, seedAddrs(cfg), incarnation)
+	d.crowd = fresh.NewCrowd(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
 	d.lastTick = d.clock.Now()
 	loaded := *cfg
 	d.loaded = &loaded
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -28,13 +28,16 @@
 
 // tell sends a summary to some peers, if it is time. The lock is held.
 func (d *Daemon) tell(now clock.Milli) {
-	since := now - d.lastTell
-	if since < tellSoon || !d.news && since < tellEvery {
+	early := now-d.lastTell < tellEvery
+	if now-d.lastNews < tellSoon || early && !d.news {
 		return
 	}
-	d.lastTell, d.news = now, false
+	if !early {
+		d.lastTell = now
+	}
+	d.lastNews, d.news = now, false
 	audience, named := d.crowd.Audience(now)
-	data, err := digest.Encode(d.summary(now, named))
+	data, err := digest.Encode(d.summary(now, named, early))
 	if err != nil || len(data) > digest.MaxSize {
 		d.log.sampled("peers: summary of %d bytes not sent: %v", len(data), err)
 		return
@@ -46,7 +49,9 @@
 	}
 }
 
-func (d *Daemon) summary(now clock.Milli, named []*fresh.Peer) *digest.Summary {
+// summary returns what to tell now. Early ones are between the regular ones,
+// which tell the loads.
+func (d *Daemon) summary(now clock.Milli, named []*fresh.Peer, early bool) *digest.Summary {
 	d.seq++
 	s := &digest.Summary{
 		ID:          d.cfg.ID,
@@ -55,7 +60,8 @@
 		Seq:         d.seq,
 		Leaving:     d.leaving,
 		Trouble:     -1,
-		Loads:       d.core.Loads(now),
+		Loads:       d.core.Loads(now, early),
+		Misses:      early,
 	}
 	for t := range s.Known {
 		topic := fleet.Topic(t)
@@ -65,7 +71,7 @@
 		s.Trouble = now - d.troubled
 	}
 	for _, p := range named {
-		s.Neighbours = append(s.Neighbours, digest.Neighbour{Addr: p.Addr, Silence: now - p.Heard()})
+		s.Neighbours = append(s.Neighbours, digest.Neighbour{Addr: p.Addr, DataCentre: p.DataCentre, Silence: now - p.Heard()})
 	}
 	return s
 }
@@ -106,12 +112,12 @@
 		return
 	}
 	for _, n := range s.Neighbours {
-		d.crowd.Neighbour(now-n.Silence, n.Addr)
+		d.crowd.Neighbour(now-n.Silence, n.Addr, n.DataCentre)
 	}
 	if s.Trouble >= 0 {
 		d.core.Trouble(now - s.Trouble)
 	}
-	d.core.TakeLoads(now, s.ID, s.Loads)
+	d.core.TakeLoads(now, s.ID, s.Loads, s.Misses)
 	behind := false
 	for t := range s.Known {
 		topic := fleet.Topic(t)
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -41,6 +41,8 @@
 type Neighbour struct {
 	_    struct{} `cbor:",toarray"`
 	Addr netip.AddrPort
+	// DataCentre is empty if it is not known.
+	DataCentre schema.DataCentreID
 	// Silence is how long ago it was heard, in milliseconds.
 	Silence clock.Milli
 }
@@ -58,8 +60,10 @@
 	Known   [fleet.Topics]Known
 	// Trouble is how long ago a read of the store failed at the sender or
 	// was told to it, in milliseconds; negative if never.
-	Trouble    clock.Milli
-	Loads      []fleet.Load
+	Trouble clock.Milli
+	Loads   []fleet.Load
+	// Misses is set if Loads holds only the targets that don't answer.
+	Misses     bool
 	Neighbours []Neighbour
 }
 
--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -34,10 +34,17 @@
 type Change struct {
 	// News is set if any object changed.
 	News bool
+	// Targets names the targets whose entries changed.
+	Targets []schema.TargetID
 	// Replaced lists the starts of targets that a newer start replaced.
 	Replaced []Target
 }
 
+func (c *Change) target(id schema.TargetID) {
+	c.News = true
+	c.Targets = append(c.Targets, id)
+}
+
 // Book is a daemon's copy of the three topics. It is not safe for concurrent
 // use.
 type Book struct {
@@ -65,6 +72,9 @@
 // Table returns the configuration, nil if none is known.
 func (b *Book) Table() *Table { return b.table }
 
+// Entry returns a target's entry, nil if there is none.
+func (b *Book) Entry(id schema.TargetID) *Entry { return b.targets[id] }
+
 // Entries returns the targets' entries, removed ones too.
 func (b *Book) Entries() map[schema.TargetID]*Entry { return b.targets }
 
@@ -131,13 +141,13 @@
 	}
 	if e == nil {
 		b.targets[t.ID] = &Entry{Target: *t, Rev: t.Rev, Since: now}
-		c.News = true
+		c.target(t.ID)
 		return
 	}
 	if t.Rev <= e.Rev {
 		return
 	}
-	c.News = true
+	c.target(t.ID)
 	if e.Target.Born != t.Born || e.Target.Num != t.Num {
 		if t.Born > e.Target.Born {
 			c.Replaced = append(c.Replaced, e.Target)
@@ -155,7 +165,7 @@
 	e.Rev = rev
 	if !e.Gone {
 		e.Gone, e.GoneAt = true, now
-		c.News = true
+		c.target(id)
 	}
 }
 
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -96,13 +96,10 @@
 
 // Code returns the code of this start of the target.
 func (t *Target) Code() Code {
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:], t.Num)
-	binary.LittleEndian.PutUint64(buf[8:], uint64(t.Born))
-	h := xxhash.New()
-	_, _ = h.Write(buf[:]) // a hash takes every write
-	_, _ = h.WriteString(string(t.ID))
-	sum := Code(h.Sum64())
+	buf := make([]byte, 0, 64)
+	buf = binary.LittleEndian.AppendUint64(buf, t.Num)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(t.Born))
+	sum := Code(xxhash.Sum64(append(buf, t.ID...)))
 	if sum == 0 {
 		return 1
 	}
@@ -172,10 +169,12 @@
 	Code  Code
 	Flows uint16
 	Busy  uint16
-	// Missed counts the sender's flows that the target left unanswered since
-	// it last answered one, Since is how long ago the first of their packets
+	// Missed counts the sender's flows that the target may have left
+	// unanswered since it last answered one, Sure those of them whose clients
+	// sent a packet again. Since is how long ago the first of those packets
 	// was sent, in milliseconds.
 	Missed uint16
+	Sure   uint16
 	Since  clock.Milli
 	// Heard is how long ago the target last answered a flow, in milliseconds.
 	Heard clock.Milli
