internal/state/fleet, entry: peers tell a new daemon which targets are gone

Change: a book that asks for everything is told removed entries whole, with how long ago they went; a daemon asks a peer once after its start, also if the store answered first.

--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -50,13 +50,10 @@
 		t = c.double(code, t, id)
 	}
 	c.starts[id] = t
-	wasDraining := t.Draining
 	t.Target = e.Target
-	switch {
-	case e.Gone && !t.gone:
-		t.Draining = wasDraining
-		c.lose(now, t)
-	case !e.Gone:
+	if e.Gone {
+		c.lose(e.GoneAt, t)
+	} else {
 		t.gone, t.replaced = false, false
 	}
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -234,12 +234,12 @@
 // vanish now may be back.
 func (c *Core) Trouble(at clock.Milli) { c.troubled = max(c.troubled, at) }
 
-// lose marks a start of a target as gone.
-func (c *Core) lose(now clock.Milli, t *Target) {
+// lose marks a start of a target as gone since a time.
+func (c *Core) lose(at clock.Milli, t *Target) {
 	if t.gone {
 		return
 	}
-	t.gone, t.goneAt, t.drained = true, now, t.Draining
+	t.gone, t.goneAt, t.drained = true, at, t.Draining
 }
 
 // serviceOf returns the key of the address that a flow was sent to.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,8 @@
 	incarnation uint64
 	seq         uint64
 	lastTick    clock.Milli
+	// recalled is set once a peer told the targets that are gone.
+	recalled bool
 	// lastTell is when loads were last told, lastNews when anything was.
 	lastTell   clock.Milli
 	lastNews   clock.Milli
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -127,7 +127,9 @@
 		}
 		behind = d.reader.Heard(topic, s.Known[t].Rev, confirmed) || behind
 	}
-	if behind {
+	// A new daemon asks a peer even if it knows what the store tells: only
+	// peers know the targets that are gone.
+	if behind || !d.recalled {
 		select {
 		case d.pulls <- from:
 		default: // one is under way
@@ -153,6 +155,9 @@
 func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
 	d.mu.Lock()
 	revs := d.core.Book().Revs()
+	if !d.recalled {
+		revs[fleet.Targets] = 0
+	}
 	d.mu.Unlock()
 	url := "http://" + from.String() + newsPath + "?"
 	for t, rev := range revs {
@@ -182,6 +187,7 @@
 	for i := range n.Updates {
 		u := &n.Updates[i]
 		d.apply(now, u, from.String())
+		d.recalled = d.recalled || u.Topic == fleet.Targets && u.Full
 		if u.Rev <= d.core.Book().Rev(u.Topic) && n.Ages[i] >= 0 {
 			d.reader.Learn(u.Topic, u.Rev, began-n.Ages[i])
 		} else {
@@ -224,7 +230,7 @@
 		if d.core.Book().Rev(topic) <= since[t] {
 			continue
 		}
-		n.Updates = append(n.Updates, d.core.Book().Since(topic, since[t]))
+		n.Updates = append(n.Updates, d.core.Book().Since(now, topic, since[t]))
 		n.Ages = append(n.Ages, ageOf(d.reader.Age(now, topic)))
 	}
 	return n
--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -119,6 +119,7 @@
 	}
 	for _, g := range u.Gone {
 		b.removeTarget(now, schema.TargetID(g.Name), g.Rev, c)
+		b.recallTarget(now, &g, c)
 	}
 	if !u.Full {
 		return
@@ -169,6 +170,15 @@
 	}
 }
 
+// recallTarget takes a removed entry that this book never saw from a peer.
+func (b *Book) recallTarget(now clock.Milli, g *Gone, c *Change) {
+	if g.Last == nil || b.targets[g.Last.ID] != nil || g.Ago > keepGone {
+		return
+	}
+	b.targets[g.Last.ID] = &Entry{Target: *g.Last, Rev: g.Rev, Gone: true, GoneAt: now - g.Ago, Since: now}
+	c.target(g.Last.ID)
+}
+
 func (b *Book) applyOuts(now clock.Milli, u *Update, c *Change) {
 	set := func(dc schema.DataCentreID, rev schema.Version, out bool) {
 		m, ok := b.outs[dc]
@@ -200,15 +210,15 @@
 }
 
 // Since returns the update that brings a book complete up to since to this
-// book's state.
-func (b *Book) Since(t Topic, since schema.Version) Update {
+// book's state. A book that knows nothing is told of removed targets whole.
+func (b *Book) Since(now clock.Milli, t Topic, since schema.Version) Update {
 	u := Update{Topic: t, Since: since, Rev: b.revs[t], Full: since < b.floors[t] || since == 0}
 	if u.Full {
 		since = 0
 	}
 	switch t {
 	case Targets:
-		b.targetsSince(&u, since)
+		b.targetsSince(now, &u, since)
 	case Config:
 		if b.table != nil && b.table.Rev > since {
 			u.Table = b.table
@@ -229,10 +239,12 @@
 	return u
 }
 
-func (b *Book) targetsSince(u *Update, since schema.Version) {
+func (b *Book) targetsSince(now clock.Milli, u *Update, since schema.Version) {
 	for id, e := range b.targets {
 		switch {
 		case e.Rev <= since:
+		case e.Gone && u.Full:
+			u.Gone = append(u.Gone, Gone{Name: string(id), Rev: e.Rev, Last: &e.Target, Ago: now - e.GoneAt})
 		case e.Gone:
 			u.Gone = append(u.Gone, Gone{Name: string(id), Rev: e.Rev})
 		default:
--- a/internal/state/fleet/book_test.go
+++ b/internal/state/fleet/book_test.go
@@ -71,7 +71,7 @@
 			for i, b := range books {
 				u := answers[rapid.IntRange(0, len(answers)-1).Draw(t, "answer")]
 				if rapid.IntRange(0, 3).Draw(t, "from peer") == 0 {
-					u = books[1-i].Since(Targets, b.Rev(Targets))
+					u = books[1-i].Since(1000, Targets, b.Rev(Targets))
 				}
 				b.Apply(now, &u)
 				for id, e := range b.Entries() {
@@ -82,7 +82,7 @@
 		}
 		last := h.since(books[0].Rev(Targets))
 		books[0].Apply(1000, &last)
-		pulled := books[0].Since(Targets, books[1].Rev(Targets))
+		pulled := books[0].Since(1000, Targets, books[1].Rev(Targets))
 		books[1].Apply(1000, &pulled)
 		for _, b := range books {
 			require.Equal(t, h.rev, b.Rev(Targets))
@@ -108,9 +108,9 @@
 	b := NewBook()
 	b.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5}}})
 	b.Apply(1, &Update{Topic: Targets, Since: 10, Rev: 11, Gone: []Gone{{Name: "x", Rev: 11}}})
-	require.False(t, func() bool { u := b.Since(Targets, 10); return u.Full }())
+	require.False(t, func() bool { u := b.Since(1000, Targets, 10); return u.Full }())
 	b.Forget(1 + keepGone + 1)
-	u := b.Since(Targets, 10)
+	u := b.Since(1000, Targets, 10)
 	require.True(t, u.Full, "the removal after revision 10 is forgotten")
 }
 
@@ -120,3 +120,28 @@
 	b.Apply(1, &Update{Topic: Config, Full: true, Rev: 12})
 	require.Equal(t, int64(1), b.Table().Version)
 }
+
+// Load: a daemon starts when targets have gone already, and flows still name
+// them. Only its peers know.
+func TestPeersTellWhatIsGone(t *testing.T) {
+	old, fresh := NewBook(), NewBook()
+	old.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5, Num: 7, Draining: true}, {ID: "y", Rev: 6}}})
+	old.Apply(100, &Update{Topic: Targets, Since: 10, Rev: 12, Gone: []Gone{{Name: "x", Rev: 12}}})
+	fresh.Apply(5000, &Update{Topic: Targets, Full: true, Rev: 12, Targets: []Target{{ID: "y", Rev: 6}}})
+	u := old.Since(400, Targets, 0)
+	require.Equal(t, []schema.TargetID{"x"}, fresh.Apply(5000, &u).Targets)
+	e := fresh.Entry("x")
+	require.True(t, e.Gone)
+	require.Equal(t, clock.Milli(4700), e.GoneAt)
+	require.Equal(t, uint64(7), e.Target.Num)
+	require.False(t, fresh.Apply(5001, &u).News, "told twice")
+
+	back := Update{Topic: Targets, Since: 12, Rev: 14, Targets: []Target{{ID: "x", Rev: 14}}}
+	fresh.Apply(5100, &back)
+	fresh.Apply(5200, &u)
+	require.False(t, fresh.Entry("x").Gone, "older news")
+	long := old.Since(100+keepGone+1, Targets, 0)
+	late := NewBook()
+	late.Apply(0, &long)
+	require.Nil(t, late.Entry("x"), "gone for longer than any flow")
+}
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -161,6 +161,10 @@
 	_    struct{} `cbor:",toarray"`
 	Name string
 	Rev  schema.Version
+	// Last is the entry that was removed and Ago how long ago, if a peer tells
+	// it: flows may still name the target.
+	Last *Target
+	Ago  clock.Milli
 }
 
 // Load is what a daemon tells its peers of one target.
