internal/entry, fresh, steer: a daemon that is cut off and of no use leaves the rotation

Change: a daemon is not ready while no target accepts its new flows (four or more sure misses, none accepted for 500 ms) and all other data centres are silent (600 ms, 1 s in large crowds). It is again once one is heard, and tries again after 10 s in any case, as nobody else may be there.

TestDaemonThatIsCutOffLeavesRotation (entry), TestNoTargetAcceptsNewFlows (steer), TestCutDataCentreNotices (fresh).

--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -350,3 +350,19 @@
 	require.True(t, r.Fresh(start+400, fleet.Targets))
 	require.False(t, r.Fresh(start+400, fleet.Config), "the store has changed since it was listed")
 }
+
+// Load: a data centre is cut off from the others, and heard again.
+func TestCutDataCentreNotices(t *testing.T) {
+	c := NewCrowd(addr(0), "a", nil, 1)
+	require.False(t, c.CutOff(start), "no other data centre is known")
+	c.Summary(start, addr(1), "x", "a", 1, 1, false)
+	require.False(t, c.CutOff(start+5000), "a peer of the same one")
+	c.Summary(start, addr(2), "y", "b", 1, 1, false)
+	require.False(t, c.CutOff(start+cutAfter))
+	require.True(t, c.CutOff(start+cutAfter+1))
+	c.Neighbour(start+cutAfter+1, addr(2), "b")
+	require.True(t, c.CutOff(start+cutAfter+1), "word of it is not itself")
+	c.Summary(start+5000, addr(2), "y", "b", 1, 2, true)
+	require.False(t, c.CutOff(start+5000))
+	require.False(t, c.CutOff(start+9000), "it left")
+}
--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -303,6 +303,18 @@
 	return c.missedAll >= deafMisses && now-c.answered > deafIn && now-c.missedAt < missFor
 }
 
+// Barren reports whether no target accepts this daemon's new flows, though
+// established ones may go on.
+func (c *Core) Barren(now clock.Milli) bool {
+	return c.openMisses >= deafMisses && now-c.opened > deafIn
+}
+
+// TryOpens forgets the new flows that no target accepted.
+func (c *Core) TryOpens() { c.openMisses = 0 }
+
+// accepted notes that a target accepted a new flow.
+func (c *Core) accepted(now clock.Milli) { c.opened, c.openMisses = now, 0 }
+
 // answer notes an answer of a target.
 func (c *Core) answer(now clock.Milli, t *Target) {
 	t.answers.ok(now)
@@ -325,6 +337,9 @@
 	r.doubted, r.missed = true, true
 	r.target.answers.miss(now, sent, true)
 	c.suspect(r.target)
+	if r.opened != 0 {
+		c.openMisses++
+	}
 	c.missedAll++
 	c.missedAt = now
 	c.alarm = true
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -302,3 +302,35 @@
 	b.run(clock.Second)
 	require.False(t, b.core.Deaf(b.now))
 }
+
+// Load: this data centre is out and then cut off from the others: its own
+// targets take no new flows and the others' don't hear, while flows from before
+// go on.
+func TestNoTargetAcceptsNewFlows(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "b"))
+	old := b.on(again, "i-000001")
+	b.rev++
+	b.apply(fleet.Update{Topic: fleet.Outs, Since: 1000, Rev: b.rev, Outs: []fleet.Out{{DataCentre: "a", Rev: b.rev}}})
+	fails := func() {
+		var opens []*client
+		for range 5 {
+			opens = append(opens, b.open(again))
+		}
+		b.run(200)
+		for _, c := range opens {
+			c.copy(1)
+		}
+		old.request()
+		old.answered()
+		b.run(400)
+	}
+	b.run(clock.Second)
+	fails()
+	require.True(t, b.core.Barren(b.now))
+	require.False(t, b.core.Deaf(b.now), "the old flow is answered")
+	b.core.TryOpens()
+	require.False(t, b.core.Barren(b.now))
+	fails()
+	b.open(again).accepted()
+	require.False(t, b.core.Barren(b.now))
+}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -151,7 +151,7 @@
 		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
 		t.load.flows++
 	}
-	wasBusy := r.asked != 0
+	wasBusy, wasOpening := r.asked != 0, r.opened != 0
 	sent := r.sent
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
@@ -163,6 +163,9 @@
 	if answered {
 		c.answer(now, t)
 	}
+	if answered && wasOpening {
+		c.accepted(now)
+	}
 	if repeated && !r.missed {
 		c.miss(now, r, sent)
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -164,8 +164,12 @@
 	// since, missedAt is the time of the last.
 	answered  clock.Milli
 	missedAll int
-	missedAt  clock.Milli
-	alarm     bool
+	// opened is when a target last accepted a new flow, openMisses counts
+	// those that none accepted since.
+	opened     clock.Milli
+	openMisses int
+	missedAt   clock.Milli
+	alarm      bool
 	// dirty is set if peers told loads that are not added up yet, missesTold
 	// if misses are among them; lastSum is when they last were.
 	dirty      bool
@@ -203,6 +207,7 @@
 		darkDCs:  make(map[schema.DataCentreID]bool),
 		heardDCs: make(map[schema.DataCentreID]clock.Milli),
 		answered: clock.Never,
+		opened:   clock.Never,
 		missedAt: clock.Never,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,8 @@
 	lastTick    clock.Milli
 	// recalled is set once a peer told the targets that are gone.
 	recalled bool
+	// cutAt is since when this daemon is of no use to new flows.
+	cutAt clock.Milli
 	// lastTell is when loads were last told, lastNews when anything was.
 	lastTell   clock.Milli
 	lastNews   clock.Milli
@@ -105,6 +107,7 @@
 		lastTell:    clock.Never,
 		lastNews:    clock.Never,
 		lastPacket:  clock.Never,
+		cutAt:       clock.Never,
 		troubled:    clock.Never,
 		calls:       make(chan fresh.Call, 1),
 		pulls:       make(chan netip.AddrPort, 1),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,3 +236,51 @@
 		}
 	})
 }
+
+// Load: this daemon's data centre is cut off and its own targets are gone:
+// new flows reach nobody from here, but would from other data centres.
+func TestDaemonThatIsCutOffLeavesRotation(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	b.readOnce(t, fleet.Targets, fleet.Config, fleet.Outs)
+	d := b.daemon
+	now := d.clock.Now() + clock.Second
+	hear := func(seq uint64) {
+		require.True(t, d.crowd.Summary(now, netip.MustParseAddrPort("10.9.0.1:1"), "vm-9", "b", 1, seq, false))
+	}
+	port := uint16(1000)
+	entry := d.core.Book().Entry("i-01")
+	old := flow.Segment{Tuple: flow.Tuple{ClientPort: 1, Address: [4]byte{198, 18, 0, 1}, Port: 80}, Ack: 1, Cookie: uint32(entry.Target.Code())}
+	d.core.Decide(now, &old, true)
+	opens := func() {
+		for range 5 {
+			port++
+			s := flow.Segment{Open: true, Tuple: flow.Tuple{ClientPort: port, Address: [4]byte{198, 18, 0, 1}, Port: 80}}
+			d.core.Decide(now, &s, true)
+			s.Copy = 1
+			d.core.Decide(now+200, &s, true)
+		}
+		now += 600
+		// A flow from before goes on.
+		old.Ack += 100
+		d.core.Decide(now, &old, true)
+		d.lastTick = now
+	}
+	hear(1)
+	opens()
+	d.judgeCut(now)
+	require.True(t, d.isReady(), "other data centres are heard")
+	now += 1000
+	d.judgeCut(now)
+	require.False(t, d.isReady())
+	hear(2)
+	d.judgeCut(now)
+	require.True(t, d.isReady(), "heard again")
+	now += 1000
+	opens()
+	d.judgeCut(now)
+	require.False(t, d.isReady())
+	now += cutFor + 1
+	d.judgeCut(now)
+	require.True(t, d.isReady(), "tries again: nobody else may be there")
+}
