--- a/internal/coordination/fresh/fresh.go
+++ b/internal/coordination/fresh/fresh.go
@@ -41,6 +41,8 @@
 	peersFirst   = 500 * clock.Milli(1)
 	firstBackoff = 100 * clock.Milli(1)
 	maxBackoff   = 800 * clock.Milli(1)
+	// maxSlower bounds by how much the back-off of later ranks is longer.
+	maxSlower = 15
 )
 
 // Call is one read of the store.
@@ -180,7 +182,10 @@
 	r.last = now
 	switch o {
 	case Failed:
-		r.backoff = min(maxBackoff, max(firstBackoff, 2*r.backoff))
+		// Of many daemons the first by rank notice the end of an outage for
+		// all.
+		slower := 1 + clock.Milli(min(r.rank, maxSlower))
+		r.backoff = min(maxBackoff*slower, max(firstBackoff*slower*slower, 2*r.backoff))
 		return
 	case Lost:
 		r.relist[c.Topic] = true
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -29,6 +29,8 @@
 	silent map[int]bool
 	down   bool
 	lost   bool
+	// refuses makes every read fail at once.
+	refuses bool
 }
 
 // daemon is a reader and its crowd in a model network.
@@ -91,7 +93,7 @@
 	if d.call != nil && w.now >= d.ends {
 		c := *d.call
 		d.call = nil
-		if w.store.down || w.store.silent[d.n] {
+		if w.store.refuses || w.store.down || w.store.silent[d.n] {
 			d.reader.Done(w.now, d.began, c, Failed, 0)
 		} else if c.Stale {
 			d.reader.Done(w.now, d.began, c, Read, w.store.rev-5)
@@ -109,6 +111,9 @@
 				w.store.tenths -= 9
 			}
 			d.call, d.began, d.ends = &c, w.now, w.now+c.Wait+step
+			if w.store.refuses {
+				d.ends = w.now
+			}
 			if w.store.down || w.store.silent[d.n] {
 				d.ends = w.now + c.Wait + 700
 			}
@@ -366,3 +371,22 @@
 	require.False(t, c.CutOff(start+5000))
 	require.False(t, c.CutOff(start+9000), "it left")
 }
+
+// Load: the store refuses all for a while. Tries must grow more slowly than the
+// daemons, and the end must be noticed soon.
+func TestOutageCostsFewCalls(t *testing.T) {
+	tries := make(map[int]int)
+	for _, n := range []int{7, 80, 300} {
+		w := newWorld(n)
+		w.run(8 * clock.Second)
+		w.store.refuses = true
+		w.store.calls = 0
+		w.run(8 * clock.Second)
+		tries[n] = w.store.calls
+		w.store.refuses = false
+		w.run(2500)
+		require.Less(t, w.oldest(), bound, "%d daemons", n)
+	}
+	require.Less(t, tries[80], 5*tries[7], "for 11 times the daemons")
+	require.Less(t, 80*tries[300], 300*tries[80])
+}
