internal/setup, entry, platform: settings are used, or not read

MemoryMB sets the collector's limit (three quarters), FlowLife how long targets that are gone are remembered (flows of hours outlive the three minutes of before). CPUShare, Stable and Heartbeat were decoded and used by nothing: removed.

--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -9,12 +9,8 @@
 	"coltsfootdock/pkg/schema"
 )
 
-const (
-	// keepRemoved is how long a removed route is remembered.
-	keepRemoved = clock.Minute
-	// keepGone is how long a target that is gone is remembered.
-	keepGone = 3 * clock.Minute
-)
+// keepRemoved is how long a removed route is remembered.
+const keepRemoved = clock.Minute
 
 // compile brings targets, pools and routes in line with the book. Changed
 // names the targets whose entries changed.
@@ -77,7 +73,7 @@
 // forgetDoubles ends the doubling of codes of which one target is left.
 func (c *Core) forgetDoubles(now clock.Milli) {
 	for code, same := range c.doubled {
-		left := slices.DeleteFunc(slices.Clone(same), func(t *Target) bool { return t.gone && now-t.goneAt > keepGone })
+		left := slices.DeleteFunc(slices.Clone(same), func(t *Target) bool { return t.gone && now-t.goneAt > c.book.Kept() })
 		if len(left) > 1 {
 			c.doubled[code] = left
 			continue
@@ -96,7 +92,7 @@
 func (c *Core) forgetTargets(now clock.Milli) {
 	c.forgetDoubles(now)
 	c.list = slices.DeleteFunc(c.list, func(t *Target) bool {
-		if !t.gone || now-t.goneAt <= keepGone {
+		if !t.gone || now-t.goneAt <= c.book.Kept() {
 			return false
 		}
 		delete(c.codes, t.Code)
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -174,7 +174,7 @@
 		} else {
 			b.core.lose(b.now, two)
 		}
-		b.run(keepGone - clock.Second)
+		b.run(b.core.Book().Kept() - clock.Second)
 		require.Zero(t, b.opensOn(50)["i-000001"]+b.opensOn(50)["i-000009"])
 		b.run(2 * clock.Second)
 		require.Empty(t, b.core.doubled)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,6 +117,7 @@
 	d.metrics = newMeters(d)
 	d.log = newLines(log, string(cfg.ID), d.metrics)
 	d.crowd = fresh.NewCrowd(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
+	d.useLimits()
 	d.lastTick = d.clock.Now()
 	loaded := *cfg
 	d.loaded = &loaded
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -76,7 +76,7 @@
 		ID: "vm-1", DataCentre: "a", Data: free(t), Ready: free(t), Peer: free(t),
 		Store: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
 		Bounds: setup.Bounds{
-			Apply: span, Drain: span, Out: span, Grace: 2 * span, Stable: span, FlowLife: clock.Minute, Heartbeat: clock.Second,
+			Apply: span, Drain: span, Out: span, Grace: 2 * span, FlowLife: clock.Minute,
 		},
 	}
 	cfg := b.cfg
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -1,6 +1,29 @@
 package entry
 
-import "reflect"
+import (
+	"reflect"
+	"runtime/debug"
+
+	"coltsfootdock/internal/clock"
+)
+
+const (
+	// memoryPart is the part of the VM's memory, in quarters, at which the
+	// collector works harder.
+	memoryPart = 3
+	// keepAfter is how long a target that is gone is remembered after the last
+	// of its flows has ended.
+	keepAfter = clock.Minute
+)
+
+// useLimits takes over the bounds and limits of the settings.
+func (d *Daemon) useLimits() {
+	d.reader.SetBound(tightest(d.cfg.Bounds))
+	d.core.Book().Keep(d.cfg.Bounds.FlowLife + keepAfter)
+	if d.cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(d.cfg.MemoryMB) << 20 / 4 * memoryPart)
+	}
+}
 
 // Reload reads the settings again and takes over what can change while the
 // daemon runs: bounds, seeds and limits. Why tells what asked for it. Settings
@@ -28,7 +51,7 @@
 	cfg.Data, cfg.Ready, cfg.Peer, cfg.Store = d.cfg.Data, d.cfg.Ready, d.cfg.Peer, d.cfg.Store
 	cfg.ID, cfg.DataCentre = d.cfg.ID, d.cfg.DataCentre
 	d.cfg = cfg
-	d.reader.SetBound(tightest(cfg.Bounds))
+	d.useLimits()
 	d.crowd.SetSeeds(seedAddrs(cfg))
 	d.log.event("reload: by=%s: settings taken; bound=%dms seeds=%d", why, tightest(cfg.Bounds), len(cfg.Seeds))
 }
--- a/internal/setup/entry.go
+++ b/internal/setup/entry.go
@@ -27,9 +27,8 @@
 	Seeds []netip.Addr
 	// Bounds of the deployment.
 	Bounds Bounds
-	// MemoryMB and CPUShare are the VM's limits.
+	// MemoryMB is the VM's limit, zero if none is known.
 	MemoryMB int
-	CPUShare float64
 }
 
 // Bounds are the spans within which the deployment expects effects.
@@ -41,12 +40,8 @@
 	Out   clock.Milli
 	// Grace is how long a stop may take.
 	Grace clock.Milli
-	// Stable is how long a disruption is felt after its end.
-	Stable clock.Milli
 	// FlowLife is how long a flow lives at most.
 	FlowLife clock.Milli
-	// Heartbeat is the time between a target's heartbeats.
-	Heartbeat clock.Milli
 }
 
 // Print returns the settings as TOML.
@@ -78,7 +73,7 @@
 		value clock.Milli
 	}{
 		{"Apply", e.Bounds.Apply}, {"Drain", e.Bounds.Drain}, {"Out", e.Bounds.Out}, {"Grace", e.Bounds.Grace},
-		{"Stable", e.Bounds.Stable}, {"FlowLife", e.Bounds.FlowLife}, {"Heartbeat", e.Bounds.Heartbeat},
+		{"FlowLife", e.Bounds.FlowLife},
 	}
 	for _, s := range spans {
 		if s.value <= 0 {
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -329,13 +329,11 @@
 		Store:      d.store.listener.Addr().(*net.TCPAddr).AddrPort(),
 		Seeds:      []netip.Addr{s.opts.host(1, 0), s.opts.host(1, 1), s.opts.host(1, 99)},
 		Bounds: setup.Bounds{
-			Apply:     clock.FromDuration(applyBound),
-			Drain:     clock.FromDuration(drainBound),
-			Out:       clock.FromDuration(outBound),
-			Grace:     6 * clock.Second,
-			Stable:    clock.FromDuration(stable),
-			FlowLife:  clock.Minute,
-			Heartbeat: clock.FromDuration(beatEvery),
+			Apply:    clock.FromDuration(applyBound),
+			Drain:    clock.FromDuration(drainBound),
+			Out:      clock.FromDuration(outBound),
+			Grace:    6 * clock.Second,
+			FlowLife: clock.Minute,
 		},
 	}
 }
--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -8,9 +8,8 @@
 	"coltsfootdock/pkg/schema"
 )
 
-// keepGone is how long a removal is remembered. It is longer than a flow
-// lives, so that a flow's packets can still be told from unknown ones.
-const keepGone = 3 * clock.Minute
+// defaultKeep is how long a removal is remembered if nothing else is set.
+const defaultKeep = 3 * clock.Minute
 
 // Entry is what is known of one target's entry in the store.
 type Entry struct {
@@ -55,13 +54,22 @@
 	// floors are the revisions up to which removals were forgotten or never
 	// seen: changes since an older revision can't be told.
 	floors [Topics]schema.Version
+	// keep is how long a removal is remembered.
+	keep clock.Milli
 }
 
 // NewBook returns a book that knows nothing.
 func NewBook() *Book {
-	return &Book{targets: make(map[schema.TargetID]*Entry), outs: make(map[schema.DataCentreID]mark)}
+	return &Book{targets: make(map[schema.TargetID]*Entry), outs: make(map[schema.DataCentreID]mark), keep: defaultKeep}
 }
 
+// Keep sets how long a removal is remembered. It must be longer than a flow
+// lives, so that a flow's packets can still be told from unknown ones.
+func (b *Book) Keep(d clock.Milli) { b.keep = d }
+
+// Kept returns how long a removal is remembered.
+func (b *Book) Kept() clock.Milli { return b.keep }
+
 // Rev returns the revision up to which a topic is complete; zero if it was
 // never told.
 func (b *Book) Rev(t Topic) schema.Version { return b.revs[t] }
@@ -172,7 +180,7 @@
 
 // recallTarget takes a removed entry that this book never saw from a peer.
 func (b *Book) recallTarget(now clock.Milli, g *Gone, c *Change) {
-	if g.Last == nil || b.targets[g.Last.ID] != nil || g.Ago > keepGone {
+	if g.Last == nil || b.targets[g.Last.ID] != nil || g.Ago > b.keep {
 		return
 	}
 	b.targets[g.Last.ID] = &Entry{Target: *g.Last, Rev: g.Rev, Gone: true, GoneAt: now - g.Ago, Since: now}
@@ -257,7 +265,7 @@
 // Forget drops removals that are older than any flow.
 func (b *Book) Forget(now clock.Milli) {
 	for id, e := range b.targets {
-		if e.Gone && now-e.GoneAt > keepGone {
+		if e.Gone && now-e.GoneAt > b.keep {
 			b.floors[Targets] = max(b.floors[Targets], e.Rev)
 			delete(b.targets, id)
 		}
--- a/internal/state/fleet/book_test.go
+++ b/internal/state/fleet/book_test.go
@@ -109,7 +109,7 @@
 	b.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5}}})
 	b.Apply(1, &Update{Topic: Targets, Since: 10, Rev: 11, Gone: []Gone{{Name: "x", Rev: 11}}})
 	require.False(t, func() bool { u := b.Since(1000, Targets, 10); return u.Full }())
-	b.Forget(1 + keepGone + 1)
+	b.Forget(1 + defaultKeep + 1)
 	u := b.Since(1000, Targets, 10)
 	require.True(t, u.Full, "the removal after revision 10 is forgotten")
 }
@@ -140,7 +140,7 @@
 	fresh.Apply(5100, &back)
 	fresh.Apply(5200, &u)
 	require.False(t, fresh.Entry("x").Gone, "older news")
-	long := old.Since(100+keepGone+1, Targets, 0)
+	long := old.Since(100+defaultKeep+1, Targets, 0)
 	late := NewBook()
 	late.Apply(0, &long)
 	require.Nil(t, late.Entry("x"), "gone for longer than any flow")
