internal/standin/soak: a silent store, broken calls, repeated and delayed packets, foreign entries

Cuts between daemons stay with the model tests and the bench: daemons know each other by the address that they send from, which a proxy would change.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,8 +134,28 @@
 		s.Ack = f.ack
 	}
 	var b [platform.MaxPacket]byte
+	packet := platform.Pack(b[:], s, false, false, data)
+	if !f.system.unruly.Load() {
+		f.pass(packet)
+		return
+	}
+	// Some packets are late, some come twice, the second time much later.
+	packet = slices.Clone(packet)
+	switch f.system.rand() % 5 {
+	case 0:
+		f.system.after(f.system.upTo(300), func() { f.pass(packet) })
+	case 1:
+		f.pass(packet)
+		f.system.after(f.system.upTo(2500), func() { f.pass(packet) })
+	default:
+		f.pass(packet)
+	}
+}
+
+// pass hands a packet to the daemon that the fabric chooses.
+func (f *clientFlow) pass(packet []byte) {
 	if d := f.system.choose(f.client.zone, &f.tuple); d != nil {
-		_, _ = f.client.conn.WriteToUDPAddrPort(platform.Pack(b[:], s, false, false, data), d.data)
+		_, _ = f.client.conn.WriteToUDPAddrPort(packet, d.data) // a lost packet
 	}
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -67,11 +67,22 @@
 			done()
 		}
 	}, 0},
-	{"daemon turned away by the store", func(s *System) func() {
-		d := s.pickDaemon()
-		done := d.calm.disturb()
-		d.store.away.Store(true)
-		return func() { d.store.away.Store(false); done() }
+	{"daemon turned away by the store", turnAway(refuses), 0},
+	{"store silent to a daemon", turnAway(keepsSilent), 0},
+	{"store resets a daemon's calls", turnAway(resets), 0},
+	{"packets repeated and delayed", func(s *System) func() {
+		s.unruly.Store(true)
+		return func() { s.unruly.Store(false) }
+	}, 0},
+	{"entries by another writer", func(s *System) func() {
+		for i, spec := range foreignSpecs {
+			s.store.Put(targetsKind, fmt.Sprintf("x-%08x", i), spec)
+		}
+		return func() {
+			for i := range foreignSpecs {
+				s.store.Drop(targetsKind, fmt.Sprintf("x-%08x", i))
+			}
+		}
 	}, 0},
 	{"store down", storeFault(plat.Fault{Down: true}, true), 0},
 	{"store silent", storeFault(plat.Fault{Silent: true}, true), 0},
@@ -130,6 +141,26 @@
 	}, outBound + 4*time.Second},
 }
 
+// foreignSpecs are values of targets' entries that name no target.
+var foreignSpecs = []any{
+	nil, "ready", 7, []int{1}, map[string]any{},
+	map[string]any{"service": "desk", "state": "ready"},
+	map[string]any{"service": "desk", "address": "here", "zone": "dc-a", "state": "ready", "born": 1},
+	map[string]any{"service": 3, "address": "127.0.0.1:1", "zone": "dc-a", "state": "ready", "born": 1},
+	map[string]any{"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "state": "asleep", "born": 1},
+	map[string]any{"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "state": "ready", "born": "soon"},
+}
+
+// turnAway is a fault of the store towards one daemon.
+func turnAway(m manner) func(*System) func() {
+	return func(s *System) func() {
+		d := s.pickDaemon()
+		done := d.calm.disturb()
+		d.store.set(m)
+		return func() { d.store.set(serves); done() }
+	}
+}
+
 // storeFault is a fault of the whole store. Targets write no heartbeats while
 // it is down.
 func storeFault(f plat.Fault, down bool) func(*System) func() {
@@ -160,7 +191,7 @@
 	}
 	if err := s.start(d); err != nil {
 		s.judge.mu.Lock()
-		s.judge.fail("soak", "daemon %s does not start: %s", d.id, err)
+		s.judge.fail("soak", d.id, "daemon %s does not start: %s", d.id, err)
 		s.judge.mu.Unlock()
 	}
 }
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -57,6 +57,9 @@
 	At      time.Duration
 	Promise string
 	Detail  string
+	// About is what the daemons' lines about it name, Lines those lines.
+	About string
+	Lines []string
 }
 
 // judge checks the promises from what clients and targets see.
@@ -82,8 +85,12 @@
 	return &judge{began: time.Now(), ran: make(map[uint64]int), once: make(map[uint64]bool), notRun: make(map[uint64]bool)}
 }
 
-func (j *judge) fail(promise, format string, args ...any) {
-	j.broken = append(j.broken, Broken{At: time.Since(j.began), Promise: promise, Detail: fmt.Sprintf(format, args...)})
+// fail notes a broken promise. About is a target's id, a flow's client or a
+// daemon's id, empty if there is none.
+func (j *judge) fail(promise, about, format string, args ...any) {
+	j.broken = append(j.broken, Broken{
+		At: time.Since(j.began), Promise: promise, About: about, Detail: fmt.Sprintf(format, args...),
+	})
 }
 
 // opened checks the first packet of a flow that a target got from a daemon.
@@ -109,23 +116,23 @@
 	defer j.mu.Unlock()
 	j.checks += 4
 	if r == nil {
-		j.fail("wrong pool", "target %s of %s got a flow for an address without a route", t.id, t.pool)
+		j.fail("wrong pool", t.id, "target %s of %s got a flow for an address without a route", t.id, t.pool)
 		return
 	}
 	if r.pool != t.pool {
-		j.fail("wrong pool", "target %s of %s got a flow of route %s", t.id, t.pool, r.name)
+		j.fail("wrong pool", t.id, "target %s of %s got a flow of route %s", t.id, t.pool, r.name)
 	}
 	late := func(at time.Time, bound time.Duration) bool {
 		return calm && !at.IsZero() && now.Sub(at) > bound+slack && now.Sub(healed) > bound+slack
 	}
 	if late(drain, drainBound) {
-		j.fail("leaving target", "target %s, draining for %s, got a flow through %s", t.id, now.Sub(drain), d.id)
+		j.fail("leaving target", t.id, "target %s, draining for %s, got a flow through %s", t.id, now.Sub(drain), d.id)
 	}
 	if late(off, applyBound) {
-		j.fail("configuration", "route %s, removed for %s, was used through %s", r.name, now.Sub(off), d.id)
+		j.fail("configuration", t.id, "route %s, removed for %s, was used through %s", r.name, now.Sub(off), d.id)
 	}
 	if late(out, outBound) {
-		j.fail("data centre out", "target %s in %s, out for %s, got a flow through %s", t.id, t.zone.name, now.Sub(out), d.id)
+		j.fail("data centre out", t.id, "target %s in %s, out for %s, got a flow through %s", t.id, t.zone.name, now.Sub(out), d.id)
 	}
 }
 
@@ -141,7 +148,7 @@
 	defer j.mu.Unlock()
 	j.checks++
 	if !allowed {
-		j.fail("open flow", "flow %s:%d on %s, which lives, was reset", f.tuple.Source(), f.tuple.Port, t.id)
+		j.fail("open flow", f.tuple.Source().String(), "flow %s:%d on %s, which lives, was reset", f.tuple.Source(), f.tuple.Port, t.id)
 	}
 }
 
@@ -152,10 +159,10 @@
 	j.checks += 2
 	j.ran[id]++
 	if j.once[id] && j.ran[id] > 1 {
-		j.fail("at most once", "request %x ran %d times, last on %s", id, j.ran[id], t.id)
+		j.fail("at most once", t.id, "request %x ran %d times, last on %s", id, j.ran[id], t.id)
 	}
 	if j.notRun[id] {
-		j.fail("refused means not run", "request %x ran on %s after its flow was refused", id, t.id)
+		j.fail("refused means not run", t.id, "request %x ran on %s after its flow was refused", id, t.id)
 	}
 }
 
@@ -177,7 +184,7 @@
 	defer j.mu.Unlock()
 	j.checks++
 	if got != id || !whole {
-		j.fail("whole answers", "request %x got the answer to %x, whole: %t", id, got, whole)
+		j.fail("whole answers", "", "request %x got the answer to %x, whole: %t", id, got, whole)
 		return
 	}
 	j.served++
@@ -198,6 +205,6 @@
 	defer j.mu.Unlock()
 	j.checks++
 	if j.lateAsked == 0 || j.lateServed*10 < j.lateAsked*9 {
-		j.fail("service again", "%d of %d requests served after all faults ended", j.lateServed, j.lateAsked)
+		j.fail("service again", "ready:", "%d of %d requests served after all faults ended", j.lateServed, j.lateAsked)
 	}
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -67,12 +70,40 @@
 	j := s.judge
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	for i := range j.broken {
+		j.broken[i].Lines = s.linesAbout(j.broken[i].About)
+	}
 	return &Result{
 		Seed: s.opts.Seed, Injected: s.injected, Flows: j.flows, Served: j.served, Lost: j.lost, Refused: j.refused,
 		Checks: j.checks, Broken: j.broken,
 	}
 }
 
+// maxLines bounds the log lines that are told with a broken promise.
+const maxLines = 20
+
+// linesAbout returns the last lines of the daemons' logs that name something.
+func (s *System) linesAbout(what string) []string {
+	if what == "" {
+		return nil
+	}
+	var list []string
+	for _, d := range s.daemons {
+		text, err := os.ReadFile(d.log.Name())
+		if err != nil {
+			list = append(list, err.Error())
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, what) {
+				list = append(list, strings.TrimSpace(line))
+			}
+		}
+	}
+	slices.Sort(list) // a line begins with its time
+	return list[max(0, len(list)-maxLines):]
+}
+
 // close ends the processes and waits for all users of the sockets.
 func (s *System) close() {
 	for _, d := range s.daemons {
@@ -110,5 +141,8 @@
 	}
 	for _, b := range r.Broken {
 		fmt.Fprintf(w, "BROKEN at %s: %s: %s\n", b.At.Round(time.Millisecond), b.Promise, b.Detail)
+		for _, l := range b.Lines {
+			fmt.Fprintf(w, "  %s\n", l)
+		}
 	}
 }
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -98,28 +98,57 @@
 	log   *os.File
 }
 
+// manner is how the store treats a daemon.
+type manner int32
+
+const (
+	serves manner = iota
+	refuses
+	keepsSilent
+	resets
+)
+
 // turnstile is the store as one daemon sees it.
 type turnstile struct {
 	listener net.Listener
-	away     atomic.Bool
+	manner   atomic.Int32
+}
+
+func (t *turnstile) set(m manner) { t.manner.Store(int32(m)) }
+
+// pass reports whether a call goes on to the store, or treats it badly.
+func (t *turnstile) pass(w http.ResponseWriter, r *http.Request) bool {
+	switch manner(t.manner.Load()) {
+	case refuses:
+		http.Error(w, "turned away", http.StatusServiceUnavailable)
+	case keepsSilent:
+		<-r.Context().Done()
+	case resets:
+		panic(http.ErrAbortHandler) // the server's way to break a connection off
+	default:
+		return true
+	}
+	return false
 }
 
 // System is a running soak.
 type System struct {
-	opts     Options
-	judge    *judge
-	store    *plat.Platform
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	rng      *rand.Rand
-	zones    []*zone
-	daemons  []*daemon
-	targets  []*target
-	clients  []*client
-	routes   []*route
-	version  float64
-	ids      atomic.Uint64
-	down     atomic.Bool
+	opts    Options
+	judge   *judge
+	store   *plat.Platform
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	rng     *rand.Rand
+	zones   []*zone
+	daemons []*daemon
+	targets []*target
+	clients []*client
+	routes  []*route
+	version float64
+	ids     atomic.Uint64
+	down    atomic.Bool
+	// unruly is set while the fabric repeats, delays and reorders packets.
+	unruly   atomic.Bool
 	injected map[string]int
 	timers   sync.WaitGroup
 	ctx      context.Context
@@ -136,6 +165,11 @@
 	time.Sleep(time.Duration(low+s.rand()%(high-low)) * time.Millisecond)
 }
 
+// upTo returns a random time of up to n milliseconds.
+func (s *System) upTo(n uint64) time.Duration {
+	return time.Duration(s.rand()%n) * time.Millisecond
+}
+
 func (s *System) nextID() uint64 { return s.ids.Add(1) }
 
 func (s *System) storeDown() bool { return s.down.Load() }
@@ -305,11 +339,9 @@
 	s.daemons = append(s.daemons, d)
 	s.wg.Go(func() {
 		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if d.store.away.Load() {
-				http.Error(w, "turned away", http.StatusServiceUnavailable)
-				return
+			if d.store.pass(w, r) {
+				s.store.ServeHTTP(w, r)
 			}
-			s.store.ServeHTTP(w, r)
 		})}
 		stop := context.AfterFunc(s.ctx, func() { _ = server.Close() })
 		defer stop()
