cmd/coltsfootdock/cmd, internal/entry, steer: explain tells what a daemon believes, and why

A daemon tells its belief beside its metrics (/belief): readiness and its reasons, revisions and ages of the topics, each target with the reasons for or against new flows, and a client's flows with what would be done with their next packet. Tests: TestBeliefsTellWhy, TestFlowBelief, TestBeliefIsTold, TestExplain; bad queries and unreachable daemons have errors and exit codes.

--- a/cmd/coltsfootdock/cmd/cmd_test.go
+++ b/cmd/coltsfootdock/cmd/cmd_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/entry"
 )
 
 func TestExitCodes(t *testing.T) {
@@ -42,6 +49,9 @@
 		{"bad protocol", []string{"route", "set", "--address", "127.0.0.1:1", "--protocol", "udp", "desk"}, exitUsage, `must be "tcp" or "quic"`},
 		{"no name", []string{"vm", "out"}, exitUsage, "name one VM"},
 		{"unreachable", []string{"status", "--daemons", nobody}, exitUnreachable, "does not answer"},
+		{"explain, no address", []string{"explain", "i-01"}, exitUsage, "must be IP:port"},
+		{"explain, unreachable", []string{"explain", "--metrics", "127.0.0.1:1"}, exitUnreachable, "does not answer"},
+		{"explain, too much", []string{"explain", "--metrics", "127.0.0.1:1", "a", "b"}, exitUsage, "one target or client"},
 		{"duplicate target", []string{"apply", "--daemons", nobody, dup}, exitUsage, `target ID "a" stands twice`},
 		{"missing token file", []string{"status", "--token-file", filepath.Join(dir, "none")}, exitUsage, "can't be read"},
 	}
@@ -64,3 +74,43 @@
 		require.Len(t, tables.Pools[1].Targets, 4)
 	}
 }
+
+func TestExplain(t *testing.T) {
+	b := entry.Belief{
+		ID: "vm-1", DataCentre: "a", Ready: true,
+		Topics:  []entry.TopicBelief{{Topic: "targets", Rev: 7, Age: 40}},
+		Targets: []steer.TargetBelief{{ID: "i-1", Pool: "desk", Why: []string{"draining by its entry of revision 6"}}, {ID: "i-2"}},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := b
+		if r.URL.Query().Get("client") == "100.64.0.1:7" {
+			got.Flows = []steer.FlowBelief{{Client: "100.64.0.1:7", Target: "i-1", Next: "reset: target_gone"}}
+		}
+		require.NoError(t, json.NewEncoder(w).Encode(got))
+	}))
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	tests := []struct {
+		what, want, absent string
+		code               int
+	}{
+		{"i-1", "draining by its entry of revision 6", "i-2", exitOK},
+		{"", "target i-2", "nobody", exitOK},
+		{"i-3", `knows no target "i-3"`, "i-1", exitFailure},
+		{"100.64.0.1:7", "next packet: reset: target_gone", "i-2", exitOK},
+		{"100.64.0.1:8", "remembers no flow", "i-2", exitFailure},
+	}
+	for _, tt := range tests {
+		t.Run(tt.what, func(t *testing.T) {
+			args := []string{"explain", "--metrics", addr}
+			if tt.what != "" {
+				args = append(args, tt.what)
+			}
+			var out bytes.Buffer
+			require.Equal(t, tt.code, Main(args, &out, &out), out.String())
+			require.Contains(t, out.String(), tt.want)
+			require.Contains(t, out.String(), "targets: revision 7, confirmed 40 ms ago")
+			require.NotContains(t, out.String(), tt.absent)
+		})
+	}
+}
--- a/cmd/coltsfootdock/cmd/root.go
+++ b/cmd/coltsfootdock/cmd/root.go
@@ -64,7 +64,7 @@
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			a.serve(), a.entry(), a.check(), a.print(), a.version(),
-			a.route(), a.pool(), a.target(), a.vm(), a.dataCentre(), a.apply(), a.status(),
+			a.route(), a.pool(), a.target(), a.vm(), a.dataCentre(), a.apply(), a.status(), a.explain(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -203,7 +203,7 @@
 	sup.Add(duty.Duty{Name: "ready", Run: duty.HTTP(d.ready, d.readyHandler())})
 	sup.Add(duty.Duty{Name: "news", Run: duty.HTTP(d.pull, d.newsHandler())})
 	if d.gauge != nil {
-		sup.Add(duty.Duty{Name: "metrics", Run: duty.HTTP(d.gauge, d.metrics.handler())})
+		sup.Add(duty.Duty{Name: "metrics", Run: duty.HTTP(d.gauge, d.metrics.handler(d.beliefHandler))})
 	}
 	go d.awaitLeave(ctx, cancel)
 	d.log.event("start: incarnation=%d data=%s peer=%s store=%s seeds=%d bound=%dms",
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -284,3 +285,32 @@
 	d.judgeCut(now)
 	require.True(t, d.isReady(), "tries again: nobody else may be there")
 }
+
+func TestBeliefIsTold(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	b.readOnce(t, fleet.Targets, fleet.Config, fleet.Outs)
+	s := flow.Segment{Open: true, Tuple: flow.Tuple{Client: [4]byte{100, 64, 0, 1}, ClientPort: 7, Address: [4]byte{198, 18, 0, 1}, Port: 80}}
+	b.daemon.core.Decide(b.daemon.clock.Now()+1, &s, true)
+	ask := func(query string) (int, *Belief) {
+		w := httptest.NewRecorder()
+		b.daemon.metrics.handler(b.daemon.beliefHandler).ServeHTTP(w, httptest.NewRequest(http.MethodGet, BeliefPath+query, nil))
+		got := new(Belief)
+		if w.Code == http.StatusOK {
+			require.NoError(t, json.Unmarshal(w.Body.Bytes(), got))
+		}
+		return w.Code, got
+	}
+	code, got := ask("?client=100.64.0.1:7")
+	require.Equal(t, http.StatusOK, code)
+	require.True(t, got.Ready)
+	require.Len(t, got.Targets, 1)
+	require.Len(t, got.Flows, 1)
+	require.Equal(t, got.Targets[0].ID, got.Flows[0].Target)
+	require.Len(t, got.Topics, int(fleet.Topics))
+	code, got = ask("")
+	require.Equal(t, http.StatusOK, code)
+	require.Empty(t, got.Flows)
+	code, _ = ask("?client=nobody")
+	require.Equal(t, http.StatusBadRequest, code)
+}
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -85,8 +85,9 @@
 	}
 }
 
-func (m *meters) handler() http.Handler {
+func (m *meters) handler(belief http.HandlerFunc) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+BeliefPath, belief)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		m.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
