--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -19,6 +19,8 @@
 	avoidMisses = 2
 	deadMisses  = 3
 	deadIn      = 250 * clock.Milli(1)
+	// deadTellers is the number of peers whose misses are enough alone.
+	deadTellers = 3
 	// missFor is how long a miss counts.
 	missFor   = 3 * clock.Second
 	firstWait = 500 * clock.Milli(1)
@@ -221,13 +223,17 @@
 }
 
 // dead reports whether the evidence shows that nothing answers. It takes
-// misses of this daemon's own, and others of its own or of two peers: a peer
-// that is cut off itself must not condemn what it can't reach.
+// misses of this daemon's own, and others of its own or of two peers, or those
+// of several peers for longer: a peer that is cut off itself must not condemn
+// what it can't reach.
 func (e *evidence) dead(now clock.Milli) bool {
-	if e.own == 0 || e.last > e.since || now-e.since < deadIn {
+	if e.last > e.since || e.own+e.misses < deadMisses {
 		return false
 	}
-	return e.own+e.misses >= deadMisses && (e.own >= avoidMisses || e.tellers >= 2)
+	if e.own == 0 {
+		return e.tellers >= deadTellers && now-e.since >= 2*deadIn
+	}
+	return now-e.since >= deadIn && (e.own >= avoidMisses || e.tellers >= 2)
 }
 
 // silent reports whether the evidence holds a miss and no answer since. That
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -334,3 +335,46 @@
 	b.open(again).accepted()
 	require.False(t, b.core.Barren(b.now))
 }
+
+// Load: many daemons share a target's flows, and this one has only idle ones
+// when the target goes dark: their clients would lose the next request, which
+// may run once at most. Found by day trouble-2 of lin-crest-grown.
+func TestPeersTogetherCondemnATarget(t *testing.T) {
+	for tellers := 1; tellers <= 4; tellers++ {
+		b := newBed(t, target(1, "a"), target(2, "a"))
+		idle := b.on(desk, "i-000001")
+		lives := b.on(again, "i-000002")
+		b.run(5 * clock.Second)
+		tell := func() {
+			for n := range tellers {
+				id := schema.VMID(fmt.Sprintf("vm-%d", n+2))
+				b.core.TakeLoads(b.now, id, []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: b.now - start - 5*clock.Second, Heard: 9000}}, false)
+			}
+			lives.request()
+			lives.answered()
+		}
+		b.run(250)
+		tell()
+		require.Empty(t, b.core.Ended(), "too early")
+		b.run(300)
+		tell()
+		b.run(50)
+		require.Equal(t, tellers >= deadTellers, len(b.core.Ended()) > 0, "%d tellers", tellers)
+	}
+}
+
+// Load: the same, but somebody had an answer since.
+func TestAnswerAnywhereSavesATarget(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"))
+	idle := b.on(desk, "i-000001")
+	b.run(5 * clock.Second)
+	for range 8 {
+		for n := range 4 {
+			id := schema.VMID(fmt.Sprintf("vm-%d", n+2))
+			b.core.TakeLoads(b.now, id, []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: 900, Heard: 9000}}, false)
+		}
+		b.core.TakeLoads(b.now, "vm-9", []fleet.Load{{Code: idle.target.Code, Flows: 2, Heard: 200}}, false)
+		b.run(100)
+	}
+	require.Empty(t, b.core.Ended())
+}
