--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -138,6 +138,7 @@
 	store   *plat.Platform
 	wg      sync.WaitGroup
 	mu      sync.Mutex
+	rngMu   sync.Mutex
 	rng     *rand.Rand
 	zones   []*zone
 	daemons []*daemon
@@ -154,9 +155,11 @@
 	ctx      context.Context
 }
 
+// rand returns a random number. It has a lock of its own, as callers hold
+// those of targets, which are taken after the system's.
 func (s *System) rand() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.rngMu.Lock()
+	defer s.rngMu.Unlock()
 	return s.rng.Uint64()
 }
 
