--- a/cmd/coltsfootdock/cmd/explain.go
+++ b/cmd/coltsfootdock/cmd/explain.go
@@ -14,6 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/steer"
 	"coltsfootdock/internal/entry"
 	"coltsfootdock/pkg/client"
@@ -96,7 +97,7 @@
 	fmt.Fprintf(w, "daemon %s in %s: ready %t, leaving %t, deaf %t, cut off %t, %d peers, rank %d, configuration %d\n",
 		b.ID, b.DataCentre, b.Ready, b.Leaving, b.Deaf, b.CutOff, b.Peers, b.Rank, b.ConfigVersion)
 	for _, t := range b.Topics {
-		fmt.Fprintf(w, "  %s: revision %d, confirmed %d ms ago\n", t.Topic, t.Rev, t.Age)
+		fmt.Fprintf(w, "  %s: revision %d, confirmed %s\n", t.Topic, t.Rev, ago(t.Age))
 	}
 	if _, err := netip.ParseAddrPort(what); err == nil {
 		return printFlows(w, b, what)
@@ -114,6 +115,14 @@
 	return nil
 }
 
+// ago tells how long ago something was; negative spans mean never.
+func ago(d clock.Milli) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", d)
+}
+
 func printFlows(w io.Writer, b *entry.Belief, client string) error {
 	if len(b.Flows) == 0 {
 		return fmt.Errorf("daemon %s remembers no flow of client %s", b.ID, client)
@@ -131,8 +140,8 @@
 }
 
 func printTarget(w io.Writer, t *steer.TargetBelief) {
-	fmt.Fprintf(w, "target %s of %s in %s at %s, cookie %s: takes new flows %t, load %.2f, %d flows and %d requests here, %d and %d at peers, heard %d ms ago\n",
-		t.ID, t.Pool, t.DataCentre, t.Address, t.Cookie, t.Takes, t.Load, t.Flows, t.Busy, t.PeerFlows, t.PeerBusy, t.Heard)
+	fmt.Fprintf(w, "target %s of %s in %s at %s, cookie %s: takes new flows %t, load %.2f, %d flows and %d requests here, %d and %d at peers, heard %s\n",
+		t.ID, t.Pool, t.DataCentre, t.Address, t.Cookie, t.Takes, t.Load, t.Flows, t.Busy, t.PeerFlows, t.PeerBusy, ago(t.Heard))
 	for _, why := range t.Why {
 		fmt.Fprintf(w, "  %s\n", why)
 	}
--- a/internal/entry/reads.go
+++ b/internal/entry/reads.go
@@ -32,6 +32,9 @@
 	for ok := true; ok && ctx.Err() == nil; {
 		began := d.clock.Now()
 		u, err := d.read(ctx, c)
+		if ctx.Err() != nil {
+			return // the daemon stops: that says nothing of the store
+		}
 		d.mu.Lock()
 		c, ok = d.readDone(began, c, u, err)
 		d.mu.Unlock()
