internal/entry, steer, fresh, fleet: starts and other data centres are told less

A start pulled the whole deployment from a peer (200 KB at 3,000 targets), though the store had just listed it; summaries told daemons of other data centres the loads of targets that they hardly use.

Change: a start asks a peer for removed entries only; in large crowds summaries to another data centre hold the loads of its own targets, and silence. A summary that does not fit a datagram goes without loads; before it was not sent at all.

TestPeersTellWhatIsGone (Recall), TestOtherDataCentresAreToldOfTheirTargets, TestFarPeersOfLargeCrowds, TestLargeSummaryIsSentWithoutLoads.

--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -289,6 +289,15 @@
 // Heard returns when a peer was last heard of.
 func (p *Peer) Heard() clock.Milli { return p.heard }
 
+// Far returns the data centre of a peer of a large crowd, if that is another one.
+func (c *Crowd) Far(addr netip.AddrPort) (schema.DataCentreID, bool) {
+	p := c.peers[addr]
+	if p == nil || len(c.list) <= fullMesh || p.DataCentre == "" || p.DataCentre == c.dc {
+		return "", false
+	}
+	return p.DataCentre, true
+}
+
 // CutOff reports whether all daemons of other data centres fell silent at once,
 // so that this data centre, or this daemon, is likely cut off from them.
 func (c *Crowd) CutOff(now clock.Milli) bool {
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -390,3 +390,19 @@
 	require.Less(t, tries[80], 5*tries[7], "for 11 times the daemons")
 	require.Less(t, 80*tries[300], 300*tries[80])
 }
+
+func TestFarPeersOfLargeCrowds(t *testing.T) {
+	c := NewCrowd(addr(0), "a", nil, 1)
+	for i := 1; i <= fullMesh+1; i++ {
+		_, far := c.Far(addr(2))
+		require.False(t, far, "a small crowd")
+		c.Summary(start, addr(i), "x", dcOf(i), 1, 1, false)
+	}
+	dc, far := c.Far(addr(2))
+	require.True(t, far)
+	require.Equal(t, dcOf(2), dc)
+	_, far = c.Far(addr(3))
+	require.False(t, far, "the same data centre")
+	_, far = c.Far(addr(200))
+	require.False(t, far, "unknown")
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -84,6 +84,15 @@
 	return list
 }
 
+// LoadsIn returns the part of what Loads told that daemons of another data centre
+// need: their own targets, and those that don't answer.
+func (c *Core) LoadsIn(dc schema.DataCentreID, list []fleet.Load) []fleet.Load {
+	return slices.DeleteFunc(slices.Clone(list), func(l fleet.Load) bool {
+		t := c.codes[l.Code]
+		return l.Missed == 0 && (t == nil || t.DataCentre != dc)
+	})
+}
+
 // TakeLoads takes what a peer told: of all targets that it uses, or only of
 // those that it misses answers of.
 func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load, misses bool) {
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -261,3 +261,27 @@
 	require.Equal(t, NoTarget, v.Reason)
 	require.Equal(t, Drop, b.core.Decide(b.now, &s, false).Action)
 }
+
+// Load: a large crowd tells loads across data centres.
+func TestOtherDataCentresAreToldOfTheirTargets(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "b"), target(3, "c"))
+	ids := func(list []fleet.Load) (n []fleet.Code) {
+		for _, l := range list {
+			n = append(n, l.Code)
+		}
+		return n
+	}
+	var all []fleet.Load
+	for _, c := range b.core.list {
+		all = append(all, fleet.Load{Code: c.Code, Flows: 1})
+	}
+	near, far := target(1, "a"), target(2, "b")
+	require.Equal(t, []fleet.Code{far.Code()}, ids(b.core.LoadsIn("b", all)))
+	for i := range all {
+		if all[i].Code == near.Code() {
+			all[i].Missed = 1
+		}
+	}
+	require.ElementsMatch(t, []fleet.Code{far.Code(), near.Code()}, ids(b.core.LoadsIn("b", all)), "silence concerns everyone")
+	require.Len(t, all, 3)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -314,3 +314,21 @@
 	code, _ = ask("?client=nobody")
 	require.Equal(t, http.StatusBadRequest, code)
 }
+
+// Load: a daemon uses more targets than one datagram holds.
+func TestLargeSummaryIsSentWithoutLoads(t *testing.T) {
+	s := &digest.Summary{ID: "vm-1", DataCentre: "a", Seq: 1, Trouble: -1}
+	for i := range 1000 {
+		s.Loads = append(s.Loads, fleet.Load{Code: fleet.Code(1<<31 + i), Flows: 300, Busy: 9, Heard: 2000})
+	}
+	data := encodeSummary(s)
+	require.LessOrEqual(t, len(data), digest.MaxSize)
+	got, err := digest.Decode[digest.Summary](data)
+	require.NoError(t, err)
+	require.Empty(t, got.Loads)
+	require.True(t, got.Misses, "it replaces no earlier loads")
+	s.Loads = s.Loads[:100]
+	got, err = digest.Decode[digest.Summary](encodeSummary(s))
+	require.NoError(t, err)
+	require.Len(t, got.Loads, 100)
+}
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -23,7 +23,9 @@
 	tellSoon    = 40 * clock.Milli(1)
 	pullTimeout = 600 * time.Millisecond
 	newsPath    = "/news"
-	maxNews     = 8 << 20
+	// goneKey asks for removed targets too.
+	goneKey = "gone"
+	maxNews = 8 << 20
 )
 
 // tell sends a summary to some peers, if it is time. The lock is held.
@@ -37,15 +39,40 @@
 	}
 	d.lastNews, d.news = now, false
 	audience, named := d.crowd.Audience(now)
-	data, err := digest.Encode(d.summary(now, named, early))
-	if err != nil || len(data) > digest.MaxSize {
-		d.log.sampled("peers: summary of %d bytes not sent: %v", len(data), err)
-		return
-	}
+	s := d.summary(now, named, early)
+	var near []byte
 	for _, to := range audience {
-		if _, err := d.peers.WriteToUDPAddrPort(data, to); err == nil {
-			d.metrics.peerSent.Add(len(data))
+		if dc, far := d.crowd.Far(to); far {
+			part := *s
+			part.Loads = d.core.LoadsIn(dc, s.Loads)
+			d.send(encodeSummary(&part), to)
+			continue
+		}
+		if near == nil {
+			near = encodeSummary(s)
 		}
+		d.send(near, to)
+	}
+}
+
+// encodeSummary returns the wire form of a summary, without loads if it is too
+// large with them.
+func encodeSummary(s *digest.Summary) []byte {
+	data, err := digest.Encode(s)
+	if err == nil && len(data) > digest.MaxSize {
+		small := *s
+		small.Loads, small.Misses = nil, true
+		data, err = digest.Encode(&small)
+	}
+	if err != nil {
+		panic(err) // a summary holds plain values only
+	}
+	return data
+}
+
+func (d *Daemon) send(data []byte, to netip.AddrPort) {
+	if _, err := d.peers.WriteToUDPAddrPort(data, to); err == nil {
+		d.metrics.peerSent.Add(len(data))
 	}
 }
 
@@ -155,11 +182,12 @@
 func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
 	d.mu.Lock()
 	revs := d.core.Book().Revs()
-	if !d.recalled {
-		revs[fleet.Targets] = 0
-	}
+	recall := !d.recalled
 	d.mu.Unlock()
 	url := "http://" + from.String() + newsPath + "?"
+	if recall {
+		url += goneKey + "=1&"
+	}
 	for t, rev := range revs {
 		url += fleet.Topic(t).String() + "=" + strconv.FormatUint(uint64(rev), 10) + "&"
 	}
@@ -187,7 +215,7 @@
 	for i := range n.Updates {
 		u := &n.Updates[i]
 		d.apply(now, u, from.String())
-		d.recalled = d.recalled || u.Topic == fleet.Targets && u.Full
+		d.recalled = d.recalled || u.Topic == fleet.Targets && recall
 		if u.Rev <= d.core.Book().Rev(u.Topic) && n.Ages[i] >= 0 {
 			d.reader.Learn(u.Topic, u.Rev, began-n.Ages[i])
 		} else {
@@ -210,7 +238,7 @@
 			}
 			since[t] = schema.Version(v)
 		}
-		body, err := digest.Encode(d.newsSince(since))
+		body, err := digest.Encode(d.newsSince(since, r.URL.Query().Has(goneKey)))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -220,17 +248,24 @@
 	return mux
 }
 
-func (d *Daemon) newsSince(since [fleet.Topics]schema.Version) *digest.News {
+// newsSince returns what a peer lacks, and the removed targets if it asks for
+// them.
+func (d *Daemon) newsSince(since [fleet.Topics]schema.Version, gone bool) *digest.News {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	n := &digest.News{}
 	for t := range since {
 		topic := fleet.Topic(t)
-		if d.core.Book().Rev(topic) <= since[t] {
+		book := d.core.Book()
+		switch {
+		case gone && topic == fleet.Targets && since[t] != 0 && book.Rev(topic) != 0:
+			n.Updates = append(n.Updates, book.Recall(now, since[t]))
+		case book.Rev(topic) > since[t]:
+			n.Updates = append(n.Updates, book.Since(now, topic, since[t]))
+		default:
 			continue
 		}
-		n.Updates = append(n.Updates, d.core.Book().Since(now, topic, since[t]))
 		n.Ages = append(n.Ages, ageOf(d.reader.Age(now, topic)))
 	}
 	return n
--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -247,6 +247,23 @@
 	return u
 }
 
+// Recall returns the update that brings a book complete up to since to this
+// book's state, with all removed entries that this one remembers.
+func (b *Book) Recall(now clock.Milli, since schema.Version) Update {
+	u := b.Since(now, Targets, since)
+	if u.Full {
+		return u
+	}
+	u.Gone = u.Gone[:0]
+	for id, e := range b.targets {
+		if e.Gone {
+			u.Gone = append(u.Gone, Gone{Name: string(id), Rev: e.Rev, Last: &e.Target, Ago: now - e.GoneAt})
+		}
+	}
+	slices.SortFunc(u.Gone, func(x, y Gone) int { return cmp.Compare(x.Name, y.Name) })
+	return u
+}
+
 func (b *Book) targetsSince(now clock.Milli, u *Update, since schema.Version) {
 	for id, e := range b.targets {
 		switch {
--- a/internal/state/fleet/book_test.go
+++ b/internal/state/fleet/book_test.go
@@ -136,6 +136,20 @@
 	require.Equal(t, uint64(7), e.Target.Num)
 	require.False(t, fresh.Apply(5001, &u).News, "told twice")
 
+	listed := NewBook()
+	listed.Apply(5000, &Update{Topic: Targets, Full: true, Rev: 12, Targets: []Target{{ID: "y", Rev: 6}}})
+	r := old.Recall(400, 12)
+	require.Empty(t, r.Targets, "it knows those")
+	listed.Apply(5000, &r)
+	require.Equal(t, e, listed.Entry("x"))
+	require.Equal(t, schema.Version(12), listed.Rev(Targets))
+	ahead := NewBook()
+	ahead.Apply(5000, &Update{Topic: Targets, Full: true, Rev: 20, Targets: []Target{{ID: "y", Rev: 18}}})
+	r = old.Recall(400, 20)
+	ahead.Apply(5000, &r)
+	require.True(t, ahead.Entry("x").Gone)
+	require.Equal(t, schema.Version(20), ahead.Rev(Targets))
+
 	back := Update{Topic: Targets, Since: 12, Rev: 14, Targets: []Target{{ID: "x", Rev: 14}}}
 	fresh.Apply(5100, &back)
 	fresh.Apply(5200, &u)
