internal/transport/admin, certs, standin/issuer: tokens are read again, certificates proved

It is looked at every two seconds; one that can't be used is named in the log once and changes nothing. TestTokensAreReadAgain.

HTTPS of the administration API had no test, and mutual TLS none with an expired certificate: TestServerCertificates (valid, expired, of another authority, no authority named), TestMissingServerFilesAreNamed, TestServerCertificateIsReadAgain; TestMutualTLS plays foreign, expired and missing ones. The authority of the mesh test is a stand-in of its own now (internal/standin/issuer), for both.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -34,6 +34,8 @@
 	ringSize     = 256
 	probeWorkers = 8
 	stopTimeout  = 5 * time.Second
+	// tokensEvery is the time between two looks at the tokens file.
+	tokensEvery = 2 * time.Second
 )
 
 // Daemon is a running entry daemon.
@@ -154,6 +156,15 @@
 			return errors.Join(err, d.Close())
 		}
 	}
+	watchTokens := func() {
+		changed, err := api.ReloadTokens()
+		switch {
+		case err != nil:
+			d.log.Warnf("admin: tokens kept as they were: %s", err)
+		case changed:
+			d.log.Info("admin: tokens read again")
+		}
+	}
 	sup := suture.New("daemon", suture.Spec{EventHook: func(e suture.Event) {
 		d.log.Warnf("supervisor: %s", e)
 	}})
@@ -166,6 +177,7 @@
 	for range probeWorkers {
 		sup.Add(duty.Duty{Name: "probes", Run: d.probeLoop})
 	}
+	sup.Add(duty.Duty{Name: "tokens", Run: func(ctx context.Context) error { return duty.Every(ctx, tokensEvery, watchTokens) }})
 	sup.Add(duty.Duty{Name: "admin", Run: func(ctx context.Context) error { return d.serveHTTP(ctx, api) }})
 	go d.awaitLeave(ctx, cancel)
 	d.log.Infof("daemon: serves packets on %s", d.cfg.Data)
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/http/pprof"
+	"sync/atomic"
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/daemon"
@@ -33,9 +34,10 @@
 
 // API is the handler of the administration API.
 type API struct {
-	core   Core
-	mux    *http.ServeMux
-	tokens map[string]rights
+	core Core
+	mux  *http.ServeMux
+	// tokens are nil while every call is taken as an operator's.
+	tokens atomic.Pointer[tokens]
 }
 
 // New returns the API of a daemon.
--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
@@ -234,3 +235,50 @@
 	require.NoError(t, err)
 	require.Empty(t, rows)
 }
+
+// The tokens file changes while the daemon runs; one that can't be used changes
+// nothing.
+func TestTokensAreReadAgain(t *testing.T) {
+	b := newBench(t)
+	changed, err := b.api.ReloadTokens()
+	require.NoError(t, err)
+	require.False(t, changed, "no file is in use")
+	b.loadTokens()
+	path := b.api.tokens.Load().path
+	allowed := func(token string) bool {
+		code, _ := b.call("GET", "/v1/status", token, "")
+		return code == 200
+	}
+	at := time.Now()
+	write := func(text string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		at = at.Add(time.Minute) // file times may be coarse
+		require.NoError(t, os.Chtimes(path, at, at))
+	}
+	require.True(t, allowed(teamToken))
+	const next = "the-next-token-of-the-team"
+	write(fmt.Sprintf("[[Tokens]]\nToken = %q\nTeam = \"engraving\"\n", next))
+	require.True(t, allowed(teamToken), "not read yet")
+	changed, err = b.api.ReloadTokens()
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.False(t, allowed(teamToken))
+	require.True(t, allowed(next))
+
+	write("[[Tokens]]\nToken = \"short\"\n")
+	_, err = b.api.ReloadTokens()
+	require.ErrorContains(t, err, "shorter than")
+	_, err = b.api.ReloadTokens()
+	require.NoError(t, err, "named once")
+	require.True(t, allowed(next))
+	require.NoError(t, os.Remove(path))
+	_, err = b.api.ReloadTokens()
+	require.ErrorContains(t, err, "can't be read")
+	require.True(t, allowed(next))
+	write(fmt.Sprintf("[[Tokens]]\nToken = %q\nOperator = true\n", operatorToken))
+	changed, err = b.api.ReloadTokens()
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.True(t, allowed(operatorToken))
+	require.False(t, allowed(next))
+}
--- /dev/null
+++ b/internal/transport/certs/certs_test.go
@@ -0,0 +1,121 @@
+package certs_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/standin/issuer"
+	"coltsfootdock/internal/transport/certs"
+)
+
+// trusting returns a client that trusts an authority's file, or nobody.
+func trusting(t *testing.T, authority string) *http.Client {
+	pool := x509.NewCertPool()
+	if authority != "" {
+		pem, err := os.ReadFile(authority)
+		require.NoError(t, err)
+		require.True(t, pool.AppendCertsFromPEM(pem))
+	}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: pool}}}
+}
+
+// serve runs an HTTPS server with the files, as the administration API does, and
+// returns its URL.
+func serve(t *testing.T, f certs.Files) string {
+	cfg, err := certs.Server(f)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{TLSConfig: cfg, ReadHeaderTimeout: time.Second, ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.ServeTLS(l, "", "") // it ends with Close
+	}()
+	t.Cleanup(func() {
+		_ = s.Close()
+		<-done
+	})
+	return "https://" + l.Addr().String()
+}
+
+func TestServerCertificates(t *testing.T) {
+	ours, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	foreign, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	valid := time.Now().Add(time.Hour)
+	good, err := ours.Issue("good", valid)
+	require.NoError(t, err)
+	expired, err := ours.Issue("expired", time.Now().Add(-time.Minute))
+	require.NoError(t, err)
+	stranger, err := foreign.Issue("stranger", valid)
+	require.NoError(t, err)
+	tests := []struct {
+		name      string
+		files     certs.Files
+		authority string
+		want      string
+	}{
+		{"valid", good, good.Authority, ""},
+		{"expired", expired, good.Authority, "expired"},
+		{"of another authority", stranger, good.Authority, "unknown authority"},
+		{"no authority named", good, "", "unknown authority"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, err := trusting(t, tt.authority).Get(serve(t, tt.files))
+			if tt.want != "" {
+				require.ErrorContains(t, err, tt.want)
+				return
+			}
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusNoContent, resp.StatusCode)
+		})
+	}
+}
+
+func TestMissingServerFilesAreNamed(t *testing.T) {
+	a, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	f, err := a.Issue("one", time.Now().Add(time.Hour))
+	require.NoError(t, err)
+	f.Certificate += ".none"
+	_, err = certs.Server(f)
+	require.ErrorContains(t, err, "one.pem.none")
+}
+
+// A certificate is replaced while the server runs; a broken one replaces none.
+func TestServerCertificateIsReadAgain(t *testing.T) {
+	a, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	f, err := a.Issue("one", time.Now().Add(time.Hour))
+	require.NoError(t, err)
+	url, c := serve(t, f), trusting(t, f.Authority)
+	serial := func() string {
+		resp, err := c.Get(url)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.TLS.PeerCertificates[0].SerialNumber.String()
+	}
+	first := serial()
+	_, err = a.Issue("one", time.Now().Add(2*time.Hour))
+	require.NoError(t, err)
+	later := time.Now().Add(time.Minute) // file times may be coarse
+	require.NoError(t, os.Chtimes(f.Certificate, later, later))
+	second := serial()
+	require.NotEqual(t, first, second)
+	require.NoError(t, os.WriteFile(f.Certificate, []byte("broken"), 0o600))
+	require.Equal(t, second, serial())
+}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -1,15 +1,8 @@
 package mesh
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -17,64 +10,24 @@
 	"github.com/stretchr/testify/require"
 
 	"coltsfootdock/internal/protocol/peer"
+	"coltsfootdock/internal/standin/issuer"
 	"coltsfootdock/internal/transport/certs"
 	"coltsfootdock/pkg/schema"
 )
 
-// authority signs certificates of daemons.
-type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
+// issue returns the files of a daemon's certificate.
+func issue(t *testing.T, a *issuer.Issuer, name string, ends time.Time) certs.Files {
+	f, err := a.Issue(name, ends)
+	require.NoError(t, err)
+	return f
 }
 
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t, dir: t.TempDir()}
-	a.cert = &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	a.cert, a.key = a.sign("authority", a.cert, nil, nil)
+func newIssuer(t *testing.T) *issuer.Issuer {
+	a, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
 	return a
 }
 
-// sign writes NAME.pem and NAME.key; a nil parent signs itself.
-func (a *authority) sign(name string, template, parent *x509.Certificate, by *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(a.t, err)
-	if parent == nil {
-		parent, by = template, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, by)
-	require.NoError(a.t, err)
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	require.NoError(a.t, err)
-	a.write(name+".pem", "CERTIFICATE", der)
-	a.write(name+".key", "PRIVATE KEY", private)
-	cert, err := x509.ParseCertificate(der)
-	require.NoError(a.t, err)
-	return cert, key
-}
-
-func (a *authority) write(name, kind string, der []byte) {
-	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	require.NoError(a.t, os.WriteFile(filepath.Join(a.dir, name), data, 0o600))
-}
-
-// files issues a daemon's certificate.
-func (a *authority) files(name string) certs.Files {
-	a.sign(name, &x509.Certificate{
-		SerialNumber: big.NewInt(2), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		DNSNames: []string{"coltsfootdock"},
-	}, a.cert, a.key)
-	return certs.Files{
-		Certificate: filepath.Join(a.dir, name+".pem"),
-		Key:         filepath.Join(a.dir, name+".key"),
-		Authority:   filepath.Join(a.dir, "authority.pem"),
-	}
-}
-
 // open opens a mesh that passes the senders it hears to a channel.
 func open(t *testing.T, f certs.Files) (*Mesh, schema.Member, chan schema.VMID) {
 	heard := make(chan schema.VMID, 16)
@@ -89,23 +42,27 @@
 }
 
 func TestMutualTLS(t *testing.T) {
-	a := newAuthority(t)
-	_, to, heard := open(t, a.files("one"))
-	good, _, _ := open(t, a.files("two"))
-	other, _, _ := open(t, newAuthority(t).files("stranger"))
+	a := newIssuer(t)
+	valid := time.Now().Add(time.Hour)
+	_, to, heard := open(t, issue(t, a, "one", valid))
+	good, _, _ := open(t, issue(t, a, "two", valid))
+	foreign, _, _ := open(t, issue(t, newIssuer(t), "stranger", valid))
+	expired, _, _ := open(t, issue(t, a, "old", time.Now().Add(-time.Hour)))
 	plain, _, _ := open(t, certs.Files{})
-	for from, m := range map[schema.VMID]*Mesh{"stranger": other, "plain": plain} {
+	bad := map[schema.VMID]*Mesh{"stranger": foreign, "expired": expired, "plain": plain}
+	for from, m := range bad {
 		m.Send(to, peer.Message{From: from, Pull: &peer.Pull{Since: 1}}, false)
 	}
 	good.Send(to, peer.Message{From: "good", Pull: &peer.Pull{Since: 1}}, false)
 	require.Equal(t, schema.VMID("good"), <-heard)
-	require.NoError(t, other.Close())
-	require.NoError(t, plain.Close())
-	require.Empty(t, heard, "only the daemon of the same authority is heard")
+	for _, m := range bad {
+		require.NoError(t, m.Close())
+	}
+	require.Empty(t, heard, "only the daemon with a valid certificate of the same authority is heard")
 }
 
 func TestBadFilesAreNamed(t *testing.T) {
-	files := newAuthority(t).files("one")
+	files := issue(t, newIssuer(t), "one", time.Now().Add(time.Hour))
 	files.Key = filepath.Join(t.TempDir(), "missing.key")
 	_, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), files, nil, Counters{})
 	require.ErrorContains(t, err, "missing.key")
