internal/entry, fleet: a new daemon tells not everything, ages are those of the newest revision

A daemon that started can't tell what was removed before its own list, so it answered each peer that was a revision behind with the whole deployment, 200 KB at 3,000 targets; its peers then could not tell either.

Change: beyond 500 targets it tells nothing then; the other asks another peer, or reads the store as its age grows. Removed targets are told apart from the changes.

TestNewDaemonTellsNotEverything.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
 	"coltsfootdock/internal/transport/edge"
+	"coltsfootdock/pkg/schema"
 	"coltsfootdock/platform"
 )
 
@@ -332,3 +334,39 @@
 	require.NoError(t, err)
 	require.Len(t, got.Loads, 100)
 }
+
+// Load: a daemon that just started, with thousands of targets, is asked by one
+// that is a little behind. It can't tell what was removed in between, and telling
+// everything would be dear.
+func TestNewDaemonTellsNotEverything(t *testing.T) {
+	b := newBed(t)
+	list := func(n int) {
+		u := fleet.Update{Topic: fleet.Targets, Full: true, Rev: 1000}
+		for i := range n {
+			u.Targets = append(u.Targets, fleet.Target{ID: schema.TargetID(fmt.Sprintf("i-%05d", i)), Num: uint64(i), Born: 1, Rev: 10})
+		}
+		b.daemon.core.Apply(1, &u)
+		b.daemon.reader.Learn(fleet.Targets, 1000, b.daemon.clock.Now())
+	}
+	list(maxWhole)
+	since := [fleet.Topics]schema.Version{fleet.Targets: 990}
+	n := b.daemon.newsSince(since, false)
+	require.Len(t, n.Updates, 1)
+	require.True(t, n.Updates[0].Full, "few targets are told whole")
+
+	b = newBed(t)
+	list(maxWhole + 1)
+	require.Empty(t, b.daemon.newsSince(since, false).Updates)
+	n = b.daemon.newsSince(since, true)
+	require.Len(t, n.Updates, 1)
+	require.Empty(t, n.Updates[0].Targets)
+	require.Equal(t, schema.Version(990), n.Updates[0].Rev, "nothing beyond is told")
+	require.Equal(t, clock.Milli(-1), n.Ages[0], "so its age says nothing")
+	n = b.daemon.newsSince([fleet.Topics]schema.Version{}, false)
+	require.Len(t, n.Updates[0].Targets, maxWhole+1, "one that knows nothing is told all")
+	b.daemon.core.Apply(2, &fleet.Update{Topic: fleet.Targets, Since: 1000, Rev: 1002, Gone: []fleet.Gone{{Name: "i-00003", Rev: 1002}}})
+	n = b.daemon.newsSince([fleet.Topics]schema.Version{fleet.Targets: 1001}, true)
+	require.Equal(t, schema.Version(1002), n.Updates[0].Rev)
+	require.Len(t, n.Updates[0].Gone, 1)
+	require.Equal(t, uint64(3), n.Updates[0].Gone[0].Last.Num)
+}
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -23,6 +23,9 @@
 	tellSoon    = 40 * clock.Milli(1)
 	pullTimeout = 600 * time.Millisecond
 	newsPath    = "/news"
+	// maxWhole is the number of targets up to which a daemon that can't tell the
+	// changes alone tells all; beyond it the other asks another peer, or reads.
+	maxWhole = 500
 	// goneKey asks for removed targets too.
 	goneKey = "gone"
 	maxNews = 8 << 20
@@ -261,12 +264,16 @@
 		switch {
 		case gone && topic == fleet.Targets && since[t] != 0 && book.Rev(topic) != 0:
 			n.Updates = append(n.Updates, book.Recall(now, since[t]))
-		case book.Rev(topic) > since[t]:
-			n.Updates = append(n.Updates, book.Since(now, topic, since[t]))
-		default:
+		case book.Rev(topic) <= since[t], since[t] != 0 && !book.Tells(topic, since[t]) && book.Len(topic) > maxWhole:
 			continue
+		default:
+			n.Updates = append(n.Updates, book.Since(now, topic, since[t]))
+		}
+		age := clock.Milli(-1)
+		if n.Updates[len(n.Updates)-1].Rev == book.Rev(topic) {
+			age = ageOf(d.reader.Age(now, topic))
 		}
-		n.Ages = append(n.Ages, ageOf(d.reader.Age(now, topic)))
+		n.Ages = append(n.Ages, age) // an age is that of the newest revision
 	}
 	return n
 }
--- a/internal/state/fleet/book.go
+++ b/internal/state/fleet/book.go
@@ -80,6 +80,17 @@
 // Table returns the configuration, nil if none is known.
 func (b *Book) Table() *Table { return b.table }
 
+// Len returns the number of objects of a topic.
+func (b *Book) Len(t Topic) int {
+	switch t {
+	case Targets:
+		return len(b.targets)
+	case Outs:
+		return len(b.outs)
+	}
+	return 1
+}
+
 // Entry returns a target's entry, nil if there is none.
 func (b *Book) Entry(id schema.TargetID) *Entry { return b.targets[id] }
 
@@ -220,7 +231,7 @@
 // Since returns the update that brings a book complete up to since to this
 // book's state. A book that knows nothing is told of removed targets whole.
 func (b *Book) Since(now clock.Milli, t Topic, since schema.Version) Update {
-	u := Update{Topic: t, Since: since, Rev: b.revs[t], Full: since < b.floors[t] || since == 0}
+	u := Update{Topic: t, Since: since, Rev: b.revs[t], Full: !b.Tells(t, since)}
 	if u.Full {
 		since = 0
 	}
@@ -247,14 +258,14 @@
 	return u
 }
 
-// Recall returns the update that brings a book complete up to since to this
-// book's state, with all removed entries that this one remembers.
+// Recall returns an update with all removed targets that this book remembers,
+// and the changes since a revision, if it can tell them.
 func (b *Book) Recall(now clock.Milli, since schema.Version) Update {
-	u := b.Since(now, Targets, since)
-	if u.Full {
-		return u
+	u := Update{Topic: Targets, Since: since, Rev: since}
+	if b.Tells(Targets, since) && b.revs[Targets] > since {
+		u = b.Since(now, Targets, since)
+		u.Gone = nil
 	}
-	u.Gone = u.Gone[:0]
 	for id, e := range b.targets {
 		if e.Gone {
 			u.Gone = append(u.Gone, Gone{Name: string(id), Rev: e.Rev, Last: &e.Target, Ago: now - e.GoneAt})
@@ -264,6 +275,10 @@
 	return u
 }
 
+// Tells reports whether this book can tell the changes of a topic since a
+// revision without telling everything.
+func (b *Book) Tells(t Topic, since schema.Version) bool { return since >= b.floors[t] && since != 0 }
+
 func (b *Book) targetsSince(now clock.Milli, u *Update, since schema.Version) {
 	for id, e := range b.targets {
 		switch {
