--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -23,12 +23,12 @@
 	Ready      bool
 	Leaving    bool
 	// Deaf is set if no target answers, CutOff if all other data centres are
-	// silent, Useless if the daemon left the rotation for that.
-	Deaf    bool
-	CutOff  bool
-	Useless bool
-	Peers   int
-	Rank    int
+	// silent, Withdrawn if the daemon left the rotation for that.
+	Deaf      bool
+	CutOff    bool
+	Withdrawn bool
+	Peers     int
+	Rank      int
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion int64
 	Topics        []TopicBelief
@@ -50,7 +50,7 @@
 	now := d.clock.Now()
 	b := &Belief{
 		ID: d.cfg.ID, DataCentre: d.cfg.DataCentre, Ready: d.isReady(), Leaving: d.leaving,
-		Deaf: d.core.Deaf(now), CutOff: d.crowd.CutOff(now), Useless: d.cutAt != clock.Never,
+		Deaf: d.core.Deaf(now), CutOff: d.crowd.CutOff(now), Withdrawn: d.cutAt != clock.Never,
 		Peers: d.crowd.Alive(now), Rank: d.crowd.Rank(now), Targets: d.core.Beliefs(now),
 	}
 	if t := d.core.Book().Table(); t != nil {
