internal/coordination/steer, entry: peers that miss different targets show a dark data centre

With few flows a daemon on many targets each, no target is missed by two daemons, and a data centre counted as missed by as many peers as its most missed target.

Change: a data centre's tellers are the peers that miss any of its targets since one of them was last heard. So that a few lost packets do not add up, each summary tells how long ago a target of the sender's data centre answered anyone, which large crowds had stopped telling to others.

TestManyDaemonsMissManyTargets, red before with two peers and more; an answer that the data centre's own daemons tell keeps its flows.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -265,6 +265,8 @@
 		e.add(&t.answers)
 	}
 	for dc, e := range all {
+		// In a large fleet each peer has flows on other targets.
+		e.tellers = max(e.tellers, c.tellers[dc])
 		if e.targets >= 2 && e.dead(now) {
 			c.darkDCs[dc] = true
 		}
@@ -279,9 +281,25 @@
 	}
 }
 
+// Heard returns how long ago a target of this data centre was last heard by
+// anyone, negative if never.
+func (c *Core) Heard(now clock.Milli) clock.Milli {
+	at, ok := c.heardDCs[c.home]
+	if !ok {
+		return -1
+	}
+	return now - at
+}
+
+// TakeHeard takes a peer's word that a target of its data centre was heard at a
+// time.
+func (c *Core) TakeHeard(dc schema.DataCentreID, at clock.Milli) {
+	c.heardDCs[dc] = max(c.heardDCs[dc], at)
+}
+
 // heard notes that a target was heard by anyone.
 func (c *Core) heard(t *Target, at clock.Milli) {
-	c.heardDCs[t.DataCentre] = max(c.heardDCs[t.DataCentre], at)
+	c.TakeHeard(t.DataCentre, at)
 }
 
 // dark reports whether traffic shows that a target answers nobody. A daemon
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -378,3 +378,53 @@
 	}
 	require.Empty(t, b.core.Ended())
 }
+
+// Load: a data centre loses power, and hundreds of daemons have one or two flows
+// each on its hundreds of targets: no target is missed by two. Found by the sweep,
+// where flows of a lost data centre waited for their limit at 101 and 301
+// machines.
+func TestManyDaemonsMissManyTargets(t *testing.T) {
+	var list []fleet.Target
+	list = append(list, target(1, "a"))
+	for n := 2; n < 12; n++ {
+		list = append(list, target(n, "c"))
+	}
+	for _, peers := range []int{1, 2, 8} {
+		for _, lives := range []bool{false, true} {
+			manyMisses(t, list, peers, lives)
+		}
+	}
+}
+
+// manyMisses has this daemon and some peers miss one answer each in a data
+// centre, whose own daemons had one since, or not.
+func manyMisses(t *testing.T, list []fleet.Target, peers int, answered bool) {
+	b := newBed(t, list...)
+	b.put(draining(target(1, "a")))
+	waits := b.on(again, "i-000002")
+	idle := b.on(again, "i-000003")
+	b.put(target(1, "a"))
+	lives := b.on(again, "i-000001")
+	b.run(5 * clock.Second)
+	waits.request()
+	b.run(225)
+	waits.repeat()
+	for n := range peers {
+		miss := target(4+n, "c")
+		b.core.TakeLoads(b.now, schema.VMID(fmt.Sprintf("vm-%d", n+2)), []fleet.Load{
+			{Code: miss.Code(), Flows: 1, Missed: 1, Sure: 1, Since: 225, Heard: 9000},
+		}, false)
+	}
+	if answered {
+		b.core.TakeHeard("c", b.now-50)
+	}
+	lives.request()
+	lives.answered()
+	b.run(100)
+	ended := make(map[flow.Tuple]bool)
+	for _, e := range b.core.Ended() {
+		ended[e.Tuple] = true
+	}
+	require.Equal(t, peers >= 2 && !answered, ended[waits.tuple], "%d peers, answered %t", peers, answered)
+	require.False(t, ended[idle.tuple], "nobody misses an answer of its target")
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -137,11 +137,13 @@
 		t.load.peerFlows, t.load.peerBusy = 0, 0
 		t.answers.peers = word{last: t.answers.peers.last}
 	}
+	clear(c.tellers)
 	for id, p := range c.peers {
 		if now-p.at > loadsFor {
 			delete(c.peers, id)
 			continue
 		}
+		var missing []schema.DataCentreID
 		for i := range p.loads {
 			l := &p.loads[i]
 			t := c.codes[l.code]
@@ -153,6 +155,10 @@
 			if t.answers.told(l) {
 				c.suspect(t)
 			}
+			if l.sure > 0 && l.since > c.heardDCs[t.DataCentre] && !slices.Contains(missing, t.DataCentre) {
+				missing = append(missing, t.DataCentre)
+				c.tellers[t.DataCentre]++
+			}
 		}
 	}
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -160,6 +160,9 @@
 	// a target of each was last heard by anyone.
 	darkDCs  map[schema.DataCentreID]bool
 	heardDCs map[schema.DataCentreID]clock.Milli
+	// tellers are the numbers of peers that surely miss answers of targets of
+	// each data centre.
+	tellers map[schema.DataCentreID]int
 	// answered is when any target last answered, missedAll counts the misses
 	// since, missedAt is the time of the last.
 	answered  clock.Milli
@@ -206,6 +209,7 @@
 		lastSum:  clock.Never,
 		darkDCs:  make(map[schema.DataCentreID]bool),
 		heardDCs: make(map[schema.DataCentreID]clock.Milli),
+		tellers:  make(map[schema.DataCentreID]int),
 		answered: clock.Never,
 		opened:   clock.Never,
 		missedAt: clock.Never,
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -90,6 +90,7 @@
 		Seq:         d.seq,
 		Leaving:     d.leaving,
 		Trouble:     -1,
+		Heard:       d.core.Heard(now),
 		Loads:       d.core.Loads(now, early),
 		Misses:      early,
 	}
@@ -147,6 +148,9 @@
 	if s.Trouble >= 0 {
 		d.core.Trouble(now - s.Trouble)
 	}
+	if s.Heard >= 0 {
+		d.core.TakeHeard(s.DataCentre, now-s.Heard)
+	}
 	d.core.TakeLoads(now, s.ID, s.Loads, s.Misses)
 	behind := false
 	for t := range s.Known {
