internal/coordination/steer: a new flow is compared on six targets

Loads that peers tell are some hundred milliseconds old; 22 daemons that all take the least loaded of 50 targets take the same one until they hear of each other. And each new flow looked at all targets.

Change: it looks at six that take flows, in a random order, or fewer if one has no load.

--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -91,16 +91,36 @@
 	return chosen, Opened
 }
 
-// leastLoaded returns the least loaded target of a list, which it searches from
-// a random place until one has no load at all.
+// stride returns a random step that visits each of n places once.
+func (c *Core) stride(n int) int {
+	s := 1 + c.random.IntN(n)
+	for a, b := s, n; ; a, b = s, n {
+		for b != 0 {
+			a, b = b, a%b
+		}
+		if a == 1 {
+			return s
+		}
+		s++
+	}
+}
+
+// candidates is the number of targets that a new flow is compared on. Loads told
+// by peers are up to a few hundred milliseconds old: if all daemons took the least
+// loaded of many, they would take the same one until they heard of each other.
+const candidates = 6
+
+// leastLoaded returns the least loaded of some targets of a list, in a random
+// order, or the first one without any load.
 func (c *Core) leastLoaded(s *search, list []*Target) best {
 	var found best
+	seen := 0
 	if len(list) == 0 {
 		return found
 	}
-	at := c.random.IntN(len(list))
+	at, stride := c.random.IntN(len(list)), c.stride(len(list))
 	for i := range list {
-		t := list[(at+i)%len(list)]
+		t := list[(at+i*stride)%len(list)]
 		if t == s.not || !c.takes(s.now, t) {
 			continue
 		}
@@ -120,6 +140,9 @@
 			return best{target: t}
 		}
 		found.offer(t, score+blur*c.random.Float64())
+		if seen++; seen == candidates {
+			break
+		}
 	}
 	return found
 }
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -285,3 +285,35 @@
 	require.ElementsMatch(t, []fleet.Code{far.Code(), near.Code()}, ids(b.core.LoadsIn("b", all)), "silence concerns everyone")
 	require.Len(t, all, 3)
 }
+
+// Load: many daemons open flows at once, with loads that are some hundred
+// milliseconds old. They must not all take the target that was the freest.
+func TestOldLoadsDrawNoCrowd(t *testing.T) {
+	var list []fleet.Target
+	for n := 1; n <= 40; n++ {
+		list = append(list, target(n, "a"))
+	}
+	got := make(map[schema.TargetID]int)
+	for seed := range uint64(20) {
+		b := newBed(t, list...)
+		b.core = New("a", seed)
+		b.apply(fleet.Update{Topic: fleet.Config, Full: true, Rev: 1000, Table: table()})
+		b.apply(fleet.Update{Topic: fleet.Outs, Full: true, Rev: 1000})
+		b.apply(fleet.Update{Topic: fleet.Targets, Full: true, Rev: 1000, Targets: list})
+		var told []fleet.Load
+		for n, x := range list {
+			told = append(told, fleet.Load{Code: x.Code(), Flows: uint16(20 + n), Heard: 100})
+		}
+		b.core.TakeLoads(b.now, "vm-9", told, false)
+		b.run(100)
+		for range 10 {
+			got[b.open(again).target.ID]++
+		}
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	require.Less(t, most, 40, "of 200 flows, 5 a target on average")
+	require.Greater(t, len(got), 15)
+}
