internal/coordination/steer: word of answers is not told on

Found by reading the change: a summary told how long ago the sender's data centre was heard by anyone, also from peers. Each telling makes that younger by the time it takes, so daemons that tell each other could keep a dark data centre alive, for as long as their queues are slow. Now a daemon tells its own answers only. TestWordOfAnswersIsNotToldOn, red before.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -200,6 +200,9 @@
 func (c *Core) answer(now clock.Milli, t *Target) {
 	t.answers.ok(now)
 	c.heard(t, now)
+	if t.DataCentre == c.home {
+		c.answeredHome = now
+	}
 	c.answered, c.missedAll = now, 0
 }
 
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -428,3 +428,18 @@
 	require.Equal(t, peers >= 2 && !answered, ended[waits.tuple], "%d peers, answered %t", peers, answered)
 	require.False(t, ended[idle.tuple], "nobody misses an answer of its target")
 }
+
+// Load: daemons tell each other that a data centre was heard, again and again.
+// Word of it must not keep it alive.
+func TestWordOfAnswersIsNotToldOn(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "c"))
+	require.Negative(t, b.core.Heard(b.now))
+	b.core.TakeHeard("a", b.now)
+	require.Negative(t, b.core.Heard(b.now))
+	c := b.on(again, "i-000001")
+	c.request()
+	c.answered()
+	b.run(500)
+	b.core.TakeHeard("a", b.now)
+	require.Equal(t, 500*clock.Milli(1), b.core.Heard(b.now))
+}
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -105,14 +105,14 @@
 	}
 }
 
-// Heard returns how long ago a target of this data centre was last heard by
-// anyone, negative if never.
+// Heard returns how long ago a target of this data centre last answered this
+// daemon, negative if never. What peers heard is not told on: each telling would
+// make it younger by the time that it takes.
 func (c *Core) Heard(now clock.Milli) clock.Milli {
-	at, ok := c.heardDCs[c.home]
-	if !ok {
+	if c.answeredHome == clock.Never {
 		return -1
 	}
-	return now - at
+	return now - c.answeredHome
 }
 
 // TakeHeard takes a peer's word that a target of its data centre was heard at a
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -167,6 +167,8 @@
 	// since, missedAt is the time of the last.
 	answered  clock.Milli
 	missedAll int
+	// answeredHome is when a target of this data centre last answered.
+	answeredHome clock.Milli
 	// opened is when a target last accepted a new flow, openMisses counts
 	// those that none accepted since.
 	opened     clock.Milli
@@ -192,27 +194,28 @@
 // numbers.
 func New(dc schema.DataCentreID, seed uint64) *Core {
 	return &Core{
-		home:     dc,
-		book:     fleet.NewBook(),
-		random:   rand.New(rand.NewPCG(seed, seed)),
-		codes:    make(map[fleet.Code]*Target),
-		starts:   make(map[schema.TargetID]*Target),
-		doubled:  make(map[fleet.Code][]*Target),
-		routes:   make(map[serviceKey]*Route),
-		removed:  make(map[serviceKey]clock.Milli),
-		pools:    make(map[schema.Name]*pool),
-		flows:    newFlowTable(maxFlows),
-		peers:    make(map[schema.VMID]*peerLoads),
-		admitter: func(fleet.Code) bool { return true },
-		troubled: clock.Never,
-		lastScan: clock.Never,
-		lastSum:  clock.Never,
-		darkDCs:  make(map[schema.DataCentreID]bool),
-		heardDCs: make(map[schema.DataCentreID]clock.Milli),
-		tellers:  make(map[schema.DataCentreID]int),
-		answered: clock.Never,
-		opened:   clock.Never,
-		missedAt: clock.Never,
+		home:         dc,
+		book:         fleet.NewBook(),
+		random:       rand.New(rand.NewPCG(seed, seed)),
+		codes:        make(map[fleet.Code]*Target),
+		starts:       make(map[schema.TargetID]*Target),
+		doubled:      make(map[fleet.Code][]*Target),
+		routes:       make(map[serviceKey]*Route),
+		removed:      make(map[serviceKey]clock.Milli),
+		pools:        make(map[schema.Name]*pool),
+		flows:        newFlowTable(maxFlows),
+		peers:        make(map[schema.VMID]*peerLoads),
+		admitter:     func(fleet.Code) bool { return true },
+		troubled:     clock.Never,
+		lastScan:     clock.Never,
+		lastSum:      clock.Never,
+		darkDCs:      make(map[schema.DataCentreID]bool),
+		heardDCs:     make(map[schema.DataCentreID]clock.Milli),
+		tellers:      make(map[schema.DataCentreID]int),
+		answered:     clock.Never,
+		answeredHome: clock.Never,
+		opened:       clock.Never,
+		missedAt:     clock.Never,
 	}
 }
 
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -61,8 +61,8 @@
 	// Trouble is how long ago a read of the store failed at the sender or
 	// was told to it, in milliseconds; negative if never.
 	Trouble clock.Milli
-	// Heard is how long ago a target of the sender's data centre answered
-	// anyone, in milliseconds; negative if never.
+	// Heard is how long ago a target of the sender's data centre answered the
+	// sender, in milliseconds; negative if never.
 	Heard clock.Milli
 	Loads []fleet.Load
 	// Misses is set if Loads holds only the targets that don't answer.
