internal/coordination/steer: a daemon that was stalled condemns nobody

What reading found meanwhile, and a test shows: a daemon that gets little processor handles a request and its repetition 150 ms and more apart, though the client sent both before the first was passed on; the answer waits behind them. Four such flows were sure misses, told to peers, and enough to end flows of a living target.

Change: after ticks more than 100 ms apart a daemon ends no flows as dark, and tells no sure misses, for 500 ms. TestStalledDaemonCondemnsNobody, red before.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -14,6 +14,9 @@
 	avoidMisses = 2
 	deadMisses  = 3
 	deadIn      = 250 * clock.Milli(1)
+	// afterStall is how long after a stall of its own a daemon's misses prove
+	// nothing.
+	afterStall = 500 * clock.Milli(1)
 	// deadTellers is the number of peers whose misses are enough alone.
 	deadTellers = 3
 	// missFor is how long a miss counts.
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -443,3 +443,39 @@
 	b.core.TakeHeard("a", b.now)
 	require.Equal(t, 500*clock.Milli(1), b.core.Heard(b.now))
 }
+
+// Load: this daemon gets little processor for a while. Packets wait in its queue,
+// so their clients sent them again before it passed the first ones on; the answers
+// wait behind.
+func TestStalledDaemonCondemnsNobody(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"), target(3, "b"))
+	idle := b.on(desk, "i-000001")
+	lives := b.on(again, "i-000003")
+	var asking []*client
+	for range 4 {
+		asking = append(asking, b.on(again, "i-000001"))
+	}
+	b.run(5 * clock.Second)
+	for _, c := range asking {
+		c.request()
+	}
+	b.now += 250 // no tick meanwhile
+	for _, c := range asking {
+		c.repeat()
+	}
+	lives.request()
+	lives.answered()
+	b.now += 25
+	b.core.Tick(b.now)
+	for _, l := range b.core.Loads(b.now, false) {
+		require.Zero(t, l.Sure, "peers are told nothing for sure")
+	}
+	for _, c := range asking {
+		c.answered()
+	}
+	b.run(2 * clock.Second)
+	for _, e := range b.core.Ended() {
+		require.NotEqual(t, idle.tuple, e.Tuple, "its target answered all along")
+	}
+	require.Empty(t, b.core.Ended())
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -64,7 +64,7 @@
 		missed, sure, since := 0, 0, now
 		if t.answers.n > 0 {
 			missed, since = t.answers.after(t.answers.heard(), false)
-			if n, first := t.answers.after(t.answers.heard(), true); n > 0 {
+			if n, first := t.answers.after(t.answers.heard(), true); n > 0 && !c.justStalled(now) {
 				sure, since = n, first
 			}
 		}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -5,6 +5,9 @@
 const (
 	// scanEvery is the time between two scans of all flows.
 	scanEvery = 250 * clock.Milli(1)
+	// lateTick is the time between two ticks that means that packets waited in
+	// this daemon's queue.
+	lateTick = 100 * clock.Milli(1)
 	// sumEvery is the time between two sums of what peers told, if no misses
 	// are among it.
 	sumEvery = 100 * clock.Milli(1)
@@ -12,6 +15,10 @@
 
 // Tick advances time. It must be called many times a second.
 func (c *Core) Tick(now clock.Milli) {
+	if c.lastTick != clock.Never && now-c.lastTick > lateTick {
+		c.stalled = now
+	}
+	c.lastTick = now
 	c.overdue(now)
 	if c.missesTold || c.dirty && now-c.lastSum >= sumEvery {
 		c.sumLoads(now)
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -153,7 +153,10 @@
 	// troubled is when a read of the store last failed anywhere.
 	troubled clock.Milli
 	lastScan clock.Milli
-	resets   []Ended
+	lastTick clock.Milli
+	// stalled is when this daemon last went on after a stall.
+	stalled clock.Milli
+	resets  []Ended
 	// suspects are the targets that left packets without an answer.
 	suspects []*Target
 	// darkDCs are the data centres whose targets answer nobody, heardDCs when
@@ -208,6 +211,8 @@
 		admitter:     func(fleet.Code) bool { return true },
 		troubled:     clock.Never,
 		lastScan:     clock.Never,
+		lastTick:     clock.Never,
+		stalled:      clock.Never,
 		lastSum:      clock.Never,
 		darkDCs:      make(map[schema.DataCentreID]bool),
 		heardDCs:     make(map[schema.DataCentreID]clock.Milli),
