internal/coordination/steer: peers' misses alone condemn no target any more

Not traced: why three peers missed answers of a target that served; listed in docs/INCIDENTS.md.

TestPeersTogetherCondemnATarget, which asked for the rule, is replaced by TestPeersAloneCondemnNothing, the stricter opposite; red with the rule.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -17,8 +17,6 @@
 	// afterStall is how long after a stall of its own a daemon's misses prove
 	// nothing.
 	afterStall = 500 * clock.Milli(1)
-	// deadTellers is the number of peers whose misses are enough alone.
-	deadTellers = 3
 	// missFor is how long a miss counts.
 	missFor   = 3 * clock.Second
 	firstWait = 500 * clock.Milli(1)
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -336,10 +336,11 @@
 	require.False(t, b.core.Barren(b.now))
 }
 
-// Load: many daemons share a target's flows, and this one has only idle ones
-// when the target goes dark: their clients would lose the next request, which
-// may run once at most. Found by day trouble-2 of lin-crest-grown.
-func TestPeersTogetherCondemnATarget(t *testing.T) {
+// Load: many daemons share a target's flows, this one has only idle ones there, and
+// peers miss answers, for whatever reason. Flows end only by misses of this
+// daemon's own: with those of three peers alone, flows of targets that served were
+// reset on fresh-01d9 and hunt-4376-7 of lin-crest-grown.
+func TestPeersAloneCondemnNothing(t *testing.T) {
 	for tellers := 1; tellers <= 4; tellers++ {
 		b := newBed(t, target(1, "a"), target(2, "a"))
 		idle := b.on(desk, "i-000001")
@@ -359,7 +360,7 @@
 		b.run(300)
 		tell()
 		b.run(50)
-		require.Equal(t, tellers >= deadTellers, len(b.core.Ended()) > 0, "%d tellers", tellers)
+		require.Empty(t, b.core.Ended(), "%d tellers", tellers)
 	}
 }
 
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -47,16 +47,12 @@
 }
 
 // dead reports whether the evidence shows that nothing answers. It takes
-// misses of this daemon's own, and others of its own or of two peers, or those
-// of several peers for longer: a peer that is cut off itself must not condemn
-// what it can't reach.
+// misses of this daemon's own, and others of its own or of two peers: peers that
+// are cut off themselves must not condemn what they can't reach.
 func (e *evidence) dead(now clock.Milli) bool {
-	if e.last > e.since || e.own+e.misses < deadMisses {
+	if e.own == 0 || e.last > e.since || e.own+e.misses < deadMisses {
 		return false
 	}
-	if e.own == 0 {
-		return e.tellers >= deadTellers && now-e.since >= 2*deadIn
-	}
 	return now-e.since >= deadIn && (e.own >= avoidMisses || e.tellers >= 2)
 }
 
