--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -15,10 +15,6 @@
 const (
 	// suspectAfter is the silence after which a peer has no rank.
 	suspectAfter = 1500 * clock.Milli(1)
-	// cutAfter is the silence of all other data centres that means a cut,
-	// cutAfterLarge the same in a crowd whose summaries go to a few.
-	cutAfter      = 600 * clock.Milli(1)
-	cutAfterLarge = clock.Second
 	// forgetAfter is the silence after which a peer's address is dropped.
 	forgetAfter = clock.Minute
 	// fullMesh is the number of peers up to which all get every summary.
@@ -70,11 +66,14 @@
 	seed  uint64
 	// far is when a daemon of another data centre was last heard itself.
 	far clock.Milli
+	// foundCut is when a daemon of this data centre last found that it is cut
+	// off.
+	foundCut clock.Milli
 }
 
 // NewCrowd returns the crowd of a daemon that knows only its seeds.
 func NewCrowd(self netip.AddrPort, dc schema.DataCentreID, seeds []netip.AddrPort, seed uint64) *Crowd {
-	c := &Crowd{self: self, dc: dc, score: scoreOf(self), peers: make(map[netip.AddrPort]*Peer), seed: seed, far: clock.Never}
+	c := &Crowd{self: self, dc: dc, score: scoreOf(self), peers: make(map[netip.AddrPort]*Peer), seed: seed, far: clock.Never, foundCut: clock.Never}
 	c.SetSeeds(seeds)
 	return c
 }
@@ -298,19 +297,6 @@
 	return p.DataCentre, true
 }
 
-// CutOff reports whether all daemons of other data centres fell silent at once,
-// so that this data centre, or this daemon, is likely cut off from them.
-func (c *Crowd) CutOff(now clock.Milli) bool {
-	silence := cutAfter
-	if len(c.list) > fullMesh {
-		silence = cutAfterLarge
-	}
-	if now-c.far <= silence {
-		return false
-	}
-	return slices.ContainsFunc(c.list, func(p *Peer) bool { return p.DataCentre != "" && p.DataCentre != c.dc && !p.leaving })
-}
-
 // Forget drops peers that fell silent.
 func (c *Crowd) Forget(now clock.Milli) {
 	c.list = slices.DeleteFunc(c.list, func(p *Peer) bool {
--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -14,6 +14,16 @@
 	return !out
 }
 
+// NoneNear reports whether no target of this data centre gets new flows.
+func (c *Core) NoneNear(now clock.Milli) bool {
+	for _, t := range c.list {
+		if t.DataCentre == c.home && c.takes(now, t) && !c.avoids(now, t) {
+			return false
+		}
+	}
+	return true
+}
+
 // choose returns the target for a new flow, other than not, or the reason why
 // there is none. The route's weights choose the pool by the flow's hash, so
 // that all daemons choose the same one.
--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -50,7 +50,7 @@
 	now := d.clock.Now()
 	b := &Belief{
 		ID: d.cfg.ID, DataCentre: d.cfg.DataCentre, Ready: d.isReady(), Leaving: d.leaving,
-		Deaf: d.core.Deaf(now), CutOff: d.crowd.CutOff(now), Withdrawn: d.cutAt != clock.Never,
+		Deaf: d.core.Deaf(now), CutOff: d.crowd.CutOff(now), Withdrawn: d.withdrawn(),
 		Peers: d.crowd.Alive(now), Rank: d.crowd.Rank(now), Targets: d.core.Beliefs(now),
 	}
 	if t := d.core.Book().Table(); t != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,8 @@
 	recalled bool
 	// cutAt is since when this daemon is of no use to new flows.
 	cutAt clock.Milli
+	// toldCut is set while that is known from peers.
+	toldCut bool
 	// lastTell is when loads were last told, lastNews when anything was.
 	lastTell   clock.Milli
 	lastNews   clock.Milli
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -90,6 +90,7 @@
 		Seq:         d.seq,
 		Leaving:     d.leaving,
 		Trouble:     -1,
+		Cut:         d.crowd.CutAge(now),
 		Heard:       d.core.Heard(now),
 		Loads:       d.core.Loads(now, early),
 		Misses:      early,
@@ -151,6 +152,9 @@
 	if s.Heard >= 0 {
 		d.core.TakeHeard(s.DataCentre, now-s.Heard)
 	}
+	if s.Cut >= 0 && s.DataCentre == d.cfg.DataCentre {
+		d.crowd.TakeCut(now - s.Cut)
+	}
 	d.core.TakeLoads(now, s.ID, s.Loads, s.Misses)
 	behind := false
 	for t := range s.Known {
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -18,9 +18,6 @@
 	quietFor = 400 * clock.Milli(1)
 	// stopMargin is what is left of the grace period at the latest end.
 	stopMargin = 700 * clock.Milli(1)
-	// cutFor is how long a daemon that is cut off stays out of rotation before
-	// it tries again.
-	cutFor = 10 * clock.Second
 	// settingsEvery is the time between two looks at the settings file.
 	settingsEvery = 2 * time.Second
 )
@@ -65,28 +62,12 @@
 	if r := d.isReady(); r != d.wasReady {
 		d.wasReady = r
 		d.log.event("ready: %t; known=%t leaving=%t deaf=%t cut=%t peers=%d",
-			r, d.core.Known(), d.leaving, d.core.Deaf(now), d.cutAt != clock.Never, alive)
-	}
-}
-
-// judgeCut decides whether this daemon is of no use to new flows: no target
-// accepts them, and all other data centres are silent. The fabric can hand
-// packets to daemons there. It is so until they are heard again.
-func (d *Daemon) judgeCut(now clock.Milli) {
-	cut := d.crowd.CutOff(now)
-	switch {
-	case d.cutAt == clock.Never:
-		if cut && d.core.Barren(now) {
-			d.cutAt = now
-		}
-	case !cut, now-d.cutAt > cutFor:
-		d.cutAt = clock.Never
-		d.core.TryOpens()
+			r, d.core.Known(), d.leaving, d.core.Deaf(now), d.withdrawn(), alive)
 	}
 }
 
 func (d *Daemon) isReady() bool {
-	return d.core.Known() && !d.leaving && !d.core.Deaf(d.lastTick) && d.cutAt == clock.Never
+	return d.core.Known() && !d.leaving && !d.core.Deaf(d.lastTick) && !d.withdrawn()
 }
 
 // readyHandler tells the platform whether to send packets.
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -64,6 +64,9 @@
 	// Heard is how long ago a target of the sender's data centre answered the
 	// sender, in milliseconds; negative if never.
 	Heard clock.Milli
+	// Cut is how long ago a daemon of the sender's data centre found that it is
+	// cut off, in milliseconds; negative if none did lately.
+	Cut   clock.Milli
 	Loads []fleet.Load
 	// Misses is set if Loads holds only the targets that don't answer.
 	Misses     bool
