--- a/cmd/coltsfootdock/cmd/entry.go
+++ b/cmd/coltsfootdock/cmd/entry.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -17,6 +18,10 @@
 	"coltsfootdock/platform"
 )
 
+// heapGrowth is by how many percent the heap may grow between two collections.
+// Entry VMs have little memory, and what a daemon keeps is small.
+const heapGrowth = 20
+
 // entry runs an entry daemon on the users' platform, whose settings file the
 // environment names. The first SIGTERM or SIGINT starts a graceful stop,
 // SIGHUP reads the settings again.
@@ -57,6 +62,7 @@
 }
 
 func runEntry(ctx context.Context, cfg *setup.Entry, load func() (*setup.Entry, error), a *app) error {
+	debug.SetGCPercent(heapGrowth)
 	d, err := entry.New(cfg, platformWire(load), entry.NewLogger(a.out))
 	if err != nil {
 		return err
