--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -213,6 +213,9 @@
 	r.doubted = true
 	r.target.answers.miss(now, sent, false)
 	c.suspect(r.target)
+	if n, since := r.target.answers.after(r.target.answers.heard(), false); n >= avoidMisses {
+		c.question(r.target, since, false)
+	}
 	c.alarm = true
 }
 
@@ -222,6 +225,7 @@
 	r.doubted, r.missed = true, true
 	r.target.answers.miss(now, sent, true)
 	c.suspect(r.target)
+	c.question(r.target, sent, true)
 	if r.opened != 0 {
 		c.openMisses++
 	}
--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -101,6 +101,9 @@
 	if t.answers.wait > 0 {
 		add("avoided; tried again in %d ms by its admitter, this daemon: %t", max(0, t.answers.until-now), c.admitter(t.Code))
 	}
+	if t.probing.dead || t.toldDead(now) {
+		add("accepts no connection: proved here %t, by a peer %t", t.proved(), t.toldDead(now))
+	}
 	if c.dark(now, t) {
 		add("dark: its flows are ended")
 	}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -71,8 +71,9 @@
 	if r := c.flows.add(s.Tuple); r != nil {
 		r.target, r.route = t, route
 		r.seen, r.opened, r.first = now, now, s.Seq
-		c.flows.opening = append(c.flows.opening, opening{tuple: s.Tuple, opened: now})
+		c.flows.opening = append(c.flows.opening, waiting{tuple: s.Tuple, since: now})
 		t.load.flows++
+		t.load.held++
 	}
 	return Verdict{Action: Deliver, Reason: why, Target: t, Route: route, Changed: true}
 }
@@ -150,6 +151,7 @@
 		// The flow was opened by another daemon.
 		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
 		t.load.flows++
+		t.load.held++
 	}
 	wasBusy, wasOpening := r.asked != 0, r.opened != 0
 	sent := r.sent
@@ -157,6 +159,7 @@
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
 		t.load.busy++
+		c.flows.asking = append(c.flows.asking, waiting{tuple: s.Tuple, since: r.asked})
 	case !busy && wasBusy:
 		t.load.busy = max(0, t.load.busy-1)
 	}
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -48,14 +48,31 @@
 	max     int
 	records map[flow.Tuple]*record
 	free    []*record
-	// opening lists the flows that wait for their second packet, oldest
-	// first.
-	opening []opening
+	// opening lists the flows that wait for their second packet, asking those
+	// that wait for an answer, oldest first.
+	opening []waiting
+	asking  []waiting
 }
 
-type opening struct {
-	tuple  flow.Tuple
-	opened clock.Milli
+// waiting is a flow that waits since a packet of its client.
+type waiting struct {
+	tuple flow.Tuple
+	since clock.Milli
+}
+
+// due takes the flows off a list that wait for as long as d, and calls f for those
+// that are remembered.
+func (f *flowTable) due(list *[]waiting, now, d clock.Milli, call func(w waiting, r *record)) {
+	n := 0
+	for ; n < len(*list) && now-(*list)[n].since >= d; n++ {
+		w := (*list)[n]
+		if r := f.records[w.tuple]; r != nil {
+			call(w, r)
+		}
+	}
+	if n > 0 {
+		*list = append((*list)[:0], (*list)[n:]...)
+	}
 }
 
 func newFlowTable(n int) flowTable {
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -17,6 +17,8 @@
 	busy      int
 	peerFlows int
 	peerBusy  int
+	// held counts the open flows that this daemon remembers, idle ones too.
+	held int
 }
 
 const (
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -35,27 +35,26 @@
 	c.forgetTargets(now)
 }
 
-// overdue notes the first packets whose flows did not go on in time.
+// overdue notes the first packets whose flows did not go on in time, and the
+// requests that had no answer in time.
 func (c *Core) overdue(now clock.Milli) {
-	list := c.flows.opening
-	n := 0
-	for n < len(list) && now-list[n].opened >= answerIn {
-		r := c.flows.records[list[n].tuple]
-		if r != nil && r.opened == list[n].opened && !r.doubted {
+	c.flows.due(&c.flows.opening, now, answerIn, func(w waiting, r *record) {
+		if r.opened == w.since && !r.doubted {
 			c.doubt(now, r, r.opened)
 		}
-		n++
-	}
-	if n > 0 {
-		c.flows.opening = append(list[:0], list[n:]...)
-	}
+	})
+	c.flows.due(&c.flows.asking, now, slowAnswer, func(w waiting, r *record) {
+		if r.asked == w.since {
+			c.question(r.target, r.asked, false)
+		}
+	})
 }
 
 // scan forgets flows that ended or fell silent, counts each target's load
 // anew, and ends the idle flows of targets that are gone.
 func (c *Core) scan(now clock.Milli) {
 	for _, t := range c.list {
-		t.load.flows, t.load.busy = 0, 0
+		t.load.flows, t.load.busy, t.load.held = 0, 0, 0
 	}
 	for tuple, r := range c.flows.records {
 		silent := now - r.seen
@@ -68,7 +67,11 @@
 			c.flows.remove(tuple)
 			continue
 		}
-		if silent > activeFor || r.closed {
+		if r.closed {
+			continue
+		}
+		r.target.load.held++
+		if silent > activeFor {
 			continue
 		}
 		r.target.load.flows++
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -105,6 +105,7 @@
 	suspect bool
 	load    load
 	answers answers
+	probing probing
 	cold    budget
 }
 
@@ -159,6 +160,11 @@
 	resets  []Ended
 	// suspects are the targets that left packets without an answer.
 	suspects []*Target
+	// questions are the targets to probe, probes counts the probes under way,
+	// proofs are the targets whose death is still to be told.
+	questions []*Target
+	probes    int
+	proofs    []*Target
 	// darkDCs are the data centres whose targets answer nobody, heardDCs when
 	// a target of each was last heard by anyone.
 	darkDCs  map[schema.DataCentreID]bool
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,16 +83,17 @@
 	lastPacket clock.Milli
 	wasReady   bool
 
-	plane *edge.Plane
-	peers *sock.UDP
-	ready net.Listener
-	pull  net.Listener
-	gauge net.Listener
-	calls chan fresh.Call
-	pulls chan netip.AddrPort
-	leave chan struct{}
-	once  sync.Once
-	store *object.Client
+	plane  *edge.Plane
+	peers  *sock.UDP
+	ready  net.Listener
+	pull   net.Listener
+	gauge  net.Listener
+	calls  chan fresh.Call
+	pulls  chan netip.AddrPort
+	probes chan steer.Probe
+	leave  chan struct{}
+	once   sync.Once
+	store  *object.Client
 }
 
 // New opens the sockets of a daemon. It runs once Serve is called.
@@ -113,6 +114,7 @@
 		troubled:    clock.Never,
 		calls:       make(chan fresh.Call, 1),
 		pulls:       make(chan netip.AddrPort, 1),
+		probes:      make(chan steer.Probe, steer.MaxProbes),
 		leave:       make(chan struct{}),
 		store:       object.NewClient("http://"+cfg.Store.String(), object.WithTimeout(callTimeout)),
 	}
@@ -201,6 +203,9 @@
 	sup.Add(duty.Duty{Name: "reader", Run: d.reads})
 	sup.Add(duty.Duty{Name: "peers", Run: d.hear})
 	sup.Add(duty.Duty{Name: "puller", Run: d.pullNews})
+	for range probers {
+		sup.Add(duty.Duty{Name: "prober", Run: d.proves})
+	}
 	sup.Add(duty.Duty{Name: "settings", Run: d.watchSettings})
 	sup.Add(duty.Duty{Name: "ready", Run: duty.HTTP(d.ready, d.readyHandler())})
 	sup.Add(duty.Duty{Name: "news", Run: duty.HTTP(d.pull, d.newsHandler())})
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -25,6 +25,7 @@
 	peerBad   *metrics.Counter
 	peerSent  *metrics.Counter
 	ended     *metrics.Counter
+	probes    [steer.Outcomes]*metrics.Counter
 	omitted   *metrics.Counter
 }
 
@@ -49,6 +50,9 @@
 	for c := range m.opens {
 		m.opens[c] = s.NewCounter(fmt.Sprintf(`coltsfootdock_opens_total{class=%q}`, fleet.Class(c)))
 	}
+	for o := range m.probes {
+		m.probes[o] = s.NewCounter(fmt.Sprintf(`coltsfootdock_probes_total{outcome=%q}`, steer.Outcome(o)))
+	}
 	for t := range m.calls {
 		m.calls[t] = s.NewHistogram(fmt.Sprintf(`coltsfootdock_store_call_seconds{topic=%q}`, fleet.Topic(t)))
 	}
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -94,6 +94,7 @@
 		Heard:       d.core.Heard(now),
 		Loads:       d.core.Loads(now, early),
 		Misses:      early,
+		Suspects:    d.core.Suspects(now),
 	}
 	for t := range s.Known {
 		topic := fleet.Topic(t)
@@ -156,6 +157,7 @@
 		d.crowd.TakeCut(now - s.Cut)
 	}
 	d.core.TakeLoads(now, s.ID, s.Loads, s.Misses)
+	d.core.TakeSuspects(now, s.Suspects)
 	behind := false
 	for t := range s.Known {
 		topic := fleet.Topic(t)
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -48,6 +48,9 @@
 		d.log.sampled("flow: client=%s service=%s target=%s action=reset reason=%s while=silent",
 			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
 	}
+	for _, p := range d.core.Probes(now) {
+		d.probes <- p // the core asks for no more than the ring holds
+	}
 	d.crowd.Forget(now)
 	alive := d.crowd.Alive(now)
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(now, code) }, alive+1)
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -70,6 +70,7 @@
 	Loads []fleet.Load
 	// Misses is set if Loads holds only the targets that don't answer.
 	Misses     bool
+	Suspects   []fleet.Suspect
 	Neighbours []Neighbour
 }
 
@@ -78,8 +79,13 @@
 	if err := schema.CheckName("ID", string(s.ID)); err != nil {
 		return err
 	}
-	if len(s.Loads) > maxList || len(s.Neighbours) > maxList {
-		return Invalid.New("summary of %q: lists of %d and %d, at most %d", s.ID, len(s.Loads), len(s.Neighbours), maxList)
+	if n := max(len(s.Loads), len(s.Suspects), len(s.Neighbours)); n > maxList {
+		return Invalid.New("summary of %q: a list of %d, at most %d", s.ID, n, maxList)
+	}
+	for _, x := range s.Suspects {
+		if x.Age < 0 {
+			return Invalid.New("summary of %q: target %08x dead for %d ms", s.ID, uint32(x.Code), x.Age)
+		}
 	}
 	for _, n := range s.Neighbours {
 		if !n.Addr.IsValid() || n.Silence < 0 {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -184,6 +184,15 @@
 	Heard clock.Milli
 }
 
+// Suspect is a target that accepts no connection, as the sender or a peer of it
+// proved.
+type Suspect struct {
+	_    struct{} `cbor:",toarray"`
+	Code Code
+	// Age is how long ago that was proved, in milliseconds.
+	Age clock.Milli
+}
+
 // Update brings news of one topic: everything (Full), or what changed after
 // Since. The topic is complete up to Rev once it is applied.
 type Update struct {
