--- a/internal/coordination/fresh/fresh.go
+++ b/internal/coordination/fresh/fresh.go
@@ -15,6 +15,8 @@
 package fresh
 
 import (
+	"slices"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -38,7 +40,12 @@
 	betweenReads = 150 * clock.Milli(1)
 	// peersFirst is how long a new daemon waits for peers to confirm what it
 	// listed before it reads for itself.
-	peersFirst   = 500 * clock.Milli(1)
+	peersFirst = 500 * clock.Milli(1)
+	// firstAwait is how long a new daemon waits for peers to tell it everything.
+	// By its lot it waits up to awaitSpread more, there and for peersFirst, so
+	// that of many that start together few read.
+	firstAwait   = 150 * clock.Milli(1)
+	awaitSpread  = 2 * clock.Second
 	firstBackoff = 100 * clock.Milli(1)
 	maxBackoff   = 800 * clock.Milli(1)
 	// maxSlower bounds by how much the back-off of later ranks is longer.
@@ -81,12 +88,16 @@
 	// newest is the highest revision that the store is known to have.
 	newest schema.Version
 	busy   bool
-	// listed is when the last first list ended.
+	// listed is when the last first list ended, or a peer had told everything.
 	listed  clock.Milli
 	last    clock.Milli
 	backoff clock.Milli
 	// news is set when something was learned that peers should hear soon.
 	news bool
+	// awaits is since when peers may tell everything, Never if somebody waits for
+	// it already; later is what the lot adds.
+	awaits clock.Milli
+	later  clock.Milli
 	// jitter spreads the limits of daemons of equal rank.
 	jitter clock.Milli
 }
@@ -94,13 +105,28 @@
 // New returns the reader of a daemon. Bound is the tightest time within which
 // news must be in force; jitter differs between daemons.
 func New(bound clock.Milli, jitter uint64) *Reader {
-	r := &Reader{bound: bound, alone: true, last: clock.Never, listed: clock.Never, jitter: clock.Milli(jitter % 100)}
+	r := &Reader{bound: bound, alone: true, last: clock.Never, listed: clock.Never, awaits: clock.Never, jitter: clock.Milli(jitter % 100)}
 	for t := range r.confirmed {
 		r.confirmed[t] = clock.Never
 	}
 	return r
 }
 
+// Await has the first lists wait for peers, which cost the store nothing. Lot, 0 to
+// 1, differs between daemons. It ends with Want.
+func (r *Reader) Await(now clock.Milli, lot float64) {
+	r.awaits = now
+	r.later = clock.Milli(lot * float64(awaitSpread))
+}
+
+// Want notes that packets wait for the deployment to be known.
+func (r *Reader) Want() { r.awaits = clock.Never }
+
+// awaiting reports whether a peer may still tell everything.
+func (r *Reader) awaiting(now clock.Milli) bool {
+	return r.awaits != clock.Never && now-r.awaits < firstAwait+r.later
+}
+
 // SetBound changes the tightest bound.
 func (r *Reader) SetBound(bound clock.Milli) { r.bound = bound }
 
@@ -147,13 +173,19 @@
 
 func (r *Reader) next(now clock.Milli) (Call, bool) {
 	for t := fleet.Topic(0); t < fleet.Topics; t++ {
+		if r.revs[t] == 0 && !r.relist[t] && r.awaiting(now) {
+			return Call{}, false
+		}
 		if r.revs[t] == 0 || r.relist[t] {
 			// The first lists may be stale: they cost a tenth, and are
 			// confirmed by a peer or by the next read.
 			return Call{Topic: t, List: true, Stale: !r.relist[t]}, true
 		}
 	}
-	if r.Oldest(now) < r.limit() || (r.rank != 0 || r.alone) && now-r.listed < peersFirst {
+	if r.awaits != clock.Never && r.listed == clock.Never {
+		r.listed = now // a peer told everything
+	}
+	if r.Oldest(now) < r.limit() || r.leavesItToPeers(now) {
 		return Call{}, false
 	}
 	for t := fleet.Topic(0); t < fleet.Topics; t++ {
@@ -171,6 +203,15 @@
 	return Call{Topic: fleet.Targets, Since: r.revs[fleet.Targets], Wait: wait}, true
 }
 
+// leavesItToPeers reports whether a new daemon should wait for peers to confirm
+// what it listed.
+func (r *Reader) leavesItToPeers(now clock.Milli) bool {
+	if r.awaits != clock.Never && !r.alone && slices.Contains(r.confirmed[:], clock.Never) {
+		return now-r.listed < peersFirst+r.later
+	}
+	return (r.rank != 0 || r.alone) && now-r.listed < peersFirst
+}
+
 // Abandon forgets a read that nobody makes any more, as the duty that made it
 // was started anew.
 func (r *Reader) Abandon() { r.busy = false }
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -119,7 +119,7 @@
 			}
 		}
 	}
-	if d.reader.News() || (w.now/step)%5 == clock.Milli(d.n%5) {
+	if d.reader.News() || d.crowd.Greets() || (w.now/step)%5 == clock.Milli(d.n%5) {
 		w.tell(d)
 	}
 }
@@ -339,6 +339,56 @@
 	}
 }
 
+// Load: all daemons start at once and no client waits, then a tenth is restarted.
+// Found by lin-crest-large: 295 daemons listed everything at each start, in 14
+// pages, which was half of all calls of a day.
+func TestStartsAskPeersFirst(t *testing.T) {
+	for _, n := range []int{7, 80, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newWorld(n)
+			for _, d := range w.daemons {
+				d.reader.Await(w.now, d.crowd.Lot())
+			}
+			w.run(3 * clock.Second)
+			require.Less(t, w.oldest(), bound*4/5, "confirmed everywhere")
+			require.LessOrEqual(t, w.store.tenths, 100+3*n, "what one reader costs, and the lists of one in ten")
+			before := w.store.tenths
+			for i := range 1 + n/10 {
+				d := w.join(n + i)
+				d.reader.Await(w.now, d.crowd.Lot())
+			}
+			w.run(clock.Second)
+			for _, d := range w.daemons {
+				require.Equal(t, w.store.rev, d.reader.revs[fleet.Targets])
+			}
+			require.LessOrEqual(t, w.store.tenths-before, 40, "the reader's calls alone")
+		})
+	}
+}
+
+// Load: all daemons were killed and clients wait.
+func TestWantedDeploymentIsListedAtOnce(t *testing.T) {
+	r := New(bound, 0)
+	r.Await(start, 0)
+	_, ok := r.Next(start)
+	require.False(t, ok)
+	r.Want()
+	c, ok := r.Next(start)
+	require.True(t, ok)
+	require.True(t, c.List)
+}
+
+// Load: the seeds are dead, or know nothing.
+func TestAwaitEnds(t *testing.T) {
+	for _, rank := range []int{0, 1, 9} {
+		r := New(bound, 99)
+		r.Await(start, 1)
+		r.SetRank(rank, rank == 0)
+		_, ok := r.Next(start + firstAwait + awaitSpread)
+		require.True(t, ok)
+	}
+}
+
 func TestStaleListConfirmsNothing(t *testing.T) {
 	r := New(bound, 0)
 	for range fleet.Topics {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -123,6 +123,9 @@
 	d.crowd = fresh.NewCrowd(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
 	d.useLimits()
 	d.lastTick = d.clock.Now()
+	if !d.crowd.Alone() {
+		d.reader.Await(d.lastTick, d.crowd.Lot())
+	}
 	loaded := *cfg
 	d.loaded = &loaded
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(d.lastTick, code) }, 1)
@@ -250,6 +253,7 @@
 		d.plane.Reset(&s.Tuple, s.Ack)
 	case steer.Hold:
 		d.hold(now, b, s)
+		d.reader.Want()
 	}
 	if v.Changed {
 		d.log.decision(s, &v, d.reader.Age(now, fleet.Config), d.reader.Age(now, fleet.Targets), d.core.Book().Revs())
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -25,7 +25,7 @@
 	newsPath    = "/news"
 	// maxWhole is the number of targets up to which a daemon that can't tell the
 	// changes alone tells all; beyond it the other asks another peer, or reads.
-	maxWhole = 500
+	maxWhole = 1500
 	// goneKey asks for removed targets too.
 	goneKey = "gone"
 	maxNews = 8 << 20
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -56,7 +56,7 @@
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(now, code) }, alive+1)
 	d.reader.SetRank(d.crowd.Rank(now), alive == 0)
 	alarm, news := d.core.Alarm(), d.reader.News()
-	d.news = d.news || alarm || news
+	d.news = d.news || alarm || news || d.crowd.Greets()
 	d.tell(now)
 	if c, ok := d.reader.Next(now); ok {
 		d.calls <- c // the ring is empty while no call is under way
