--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -220,12 +220,18 @@
 }
 
 // miss counts a flow whose client sent a packet again against its target, once
-// until it makes progress.
+// until it makes progress. The fault is the target's only if a packet that this
+// daemon passed on later had its answer already: else the first one may wait on
+// this daemon's own link.
 func (c *Core) miss(now clock.Milli, r *record, sent clock.Milli) {
-	r.doubted, r.missed = true, true
-	r.target.answers.miss(now, sent, true)
-	c.suspect(r.target)
-	c.question(r.target, sent, true)
+	if c.reached >= sent {
+		r.doubted, r.missed = true, true
+		r.target.answers.miss(now, sent, true)
+		c.suspect(r.target)
+		c.question(r.target, now, true)
+	} else if !r.doubted {
+		c.doubt(now, r, sent)
+	}
 	if r.opened != 0 {
 		c.openMisses++
 	}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -154,7 +154,7 @@
 		t.load.held++
 	}
 	wasBusy, wasOpening := r.asked != 0, r.opened != 0
-	sent := r.sent
+	sent := max(r.sent, r.opened)
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
@@ -165,6 +165,7 @@
 	}
 	if answered {
 		c.answer(now, t)
+		c.reached = max(c.reached, sent)
 	}
 	if answered && wasOpening {
 		c.accepted(now)
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -76,6 +76,8 @@
 	listed bool
 	busy   bool
 	last   clock.Milli
+	// silent is when the last probe without an answer began.
+	silent clock.Milli
 	// dead is set once a probe proved that the target does not answer.
 	dead bool
 	// toldAt is when a peer proved that, told how often this daemon may still
@@ -109,8 +111,9 @@
 	var list []Probe
 	c.questions = slices.DeleteFunc(c.questions, func(t *Target) bool {
 		p := &t.probing
+		c.conclude(now, t)
 		if t.gone || t.answers.heard() >= p.since || !p.dead && now-p.since > doubtFor {
-			p.listed, p.dead, p.sure, p.since = false, false, false, 0
+			p.listed, p.dead, p.sure, p.since, p.silent = false, false, false, 0, 0
 			return true
 		}
 		if !p.busy && now-p.last >= probeEvery && c.probes < MaxProbes {
@@ -136,25 +139,35 @@
 	was := p.dead
 	switch {
 	case o == Accepted:
-		p.dead, p.sure, p.since = false, false, 0
-	case p.listed && c.proves(now, p, r.Began, o):
-		p.dead = true
-	}
-	if p.dead && !was {
-		c.suspect(t)
-		c.tellDead(now, t)
+		p.dead, p.sure, p.since, p.silent = false, false, 0, 0
+	case !p.listed:
+	case o == Refused:
+		c.prove(now, t)
+	case now-r.Began <= probeTook:
+		p.silent = r.Began
+		c.conclude(now, t)
 	}
 	return p.dead != was
 }
 
-// proves reports whether a failed probe shows that its target is dead. A refusal
-// does; silence does if a client repeated a packet too, and another target answered
-// this daemon meanwhile, so that the fault is not its own.
-func (c *Core) proves(now clock.Milli, p *probing, began clock.Milli, o Outcome) bool {
-	if c.Deaf(now) || c.justStalled(now) {
-		return false
+// conclude decides whether a silent probe shows that its target is dead: a client
+// repeated a packet too, and a packet that this daemon passed on after the probe
+// began had an answer, so that the fault is not its own link's.
+func (c *Core) conclude(now clock.Milli, t *Target) {
+	p := &t.probing
+	if p.silent != 0 && p.sure && !p.dead && c.reached >= p.silent && t.answers.heard() < p.since {
+		c.prove(now, t)
+	}
+}
+
+// prove notes that a target is dead, unless this daemon did not run just now.
+func (c *Core) prove(now clock.Milli, t *Target) {
+	if c.Deaf(now) || c.justStalled(now) || t.probing.dead {
+		return
 	}
-	return o == Refused || p.sure && now-began <= probeTook && c.answered > p.since
+	t.probing.dead = true
+	c.suspect(t)
+	c.tellDead(now, t)
 }
 
 // tellDead has the next summaries tell that a target is dead.
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -70,7 +70,8 @@
 }
 
 // Load: a target works slowly, or a connection is not answered for another reason:
-// silence counts only with a repeated packet, and if this daemon hears others.
+// silence counts only with a repeated packet, and if packets that this daemon passed
+// on meanwhile had answers.
 func TestSilentProbeAloneProvesNothing(t *testing.T) {
 	for _, c := range []struct {
 		name             string
@@ -92,6 +93,7 @@
 		lives := b.on(again, "i-000002")
 		b.run(clock.Second)
 		asking.request()
+		lives.answers()
 		if c.repeated {
 			b.run(200)
 			asking.repeat()
@@ -99,11 +101,11 @@
 		} else {
 			b.run(325)
 		}
+		list := b.core.Probes(b.now)
+		require.Len(t, list, 1, c.name)
 		if c.others {
 			lives.answers()
 		}
-		list := b.core.Probes(b.now)
-		require.Len(t, list, 1, c.name)
 		b.run(c.took)
 		b.core.Probed(b.now, list[0], c.outcome)
 		b.run(50)
@@ -117,6 +119,46 @@
 	}
 }
 
+// Load: this daemon's own link is full for half a second, as it sends a new
+// configuration to many peers. Packets wait there, so clients repeat them, and
+// connections wait as well; the targets serve. Found by hunt-34e2-7 of
+// lin-crest-grown, where seven targets of three data centres were held dead at once
+// and FLOW broke; fresh-01d9 and hunt-4376-7 of the sitting before show the same at
+// the same second.
+func TestFullLinkCondemnsNobody(t *testing.T) {
+	b := newBed(t, target(1, "a"), target(2, "a"), target(3, "b"))
+	var all []*client
+	for _, id := range []schema.TargetID{"i-000001", "i-000002"} {
+		b.on(desk, id)
+		for range 3 {
+			all = append(all, b.on(again, id))
+		}
+	}
+	b.run(clock.Second)
+	early := b.on(again, "i-000001")
+	early.request()
+	b.run(25)
+	for _, c := range all {
+		c.request()
+	}
+	early.answered()
+	b.run(200)
+	for _, c := range all {
+		c.repeat()
+	}
+	for range 6 {
+		b.probe(Silent, 150)
+	}
+	for _, l := range b.core.Loads(b.now, false) {
+		require.Zero(t, l.Sure, "peers are told nothing for sure")
+	}
+	for _, c := range all {
+		c.answered()
+	}
+	b.run(clock.Second)
+	require.Empty(t, b.core.Ended())
+}
+
 // Load: a target that was proved dead answers somebody after all.
 func TestAnswerAfterAProofKeepsFlows(t *testing.T) {
 	b := newBed(t, target(1, "a"), target(2, "a"))
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -176,6 +176,8 @@
 	// since, missedAt is the time of the last.
 	answered  clock.Milli
 	missedAll int
+	// reached is when this daemon passed on the latest packet that had an answer.
+	reached clock.Milli
 	// answeredHome is when a target of this data centre last answered.
 	answeredHome clock.Milli
 	// opened is when a target last accepted a new flow, openMisses counts
@@ -224,6 +226,7 @@
 		heardDCs:     make(map[schema.DataCentreID]clock.Milli),
 		tellers:      make(map[schema.DataCentreID]int),
 		answered:     clock.Never,
+		reached:      clock.Never,
 		answeredHome: clock.Never,
 		opened:       clock.Never,
 		missedAt:     clock.Never,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -183,6 +183,45 @@
 
 // Load: the settings file is broken for a while, and changes what can't
 // change.
+// stuck is a peer that does not read what it is told.
+type stuck struct {
+	http.ResponseWriter
+	began, goOn chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	s.began <- struct{}{}
+	<-s.goOn
+	return s.ResponseWriter.Write(p)
+}
+
+// Load: a new configuration is told to dozens of peers at once over a link of
+// 10 Mbit/s. Flows' packets waited there for half a second (hunt-34e2-7 of
+// lin-crest-grown).
+func TestFewPeersAreToldNewsAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.deploy()
+	b.readOnce(t, fleet.Targets, fleet.Config, fleet.Outs)
+	h := b.daemon.newsHandler()
+	ask := func(w http.ResponseWriter) {
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, newsPath+"?config=0&targets=0&outs=0", nil))
+	}
+	began, goOn := make(chan struct{}), make(chan struct{})
+	var wg sync.WaitGroup
+	for range maxServed {
+		wg.Go(func() { ask(&stuck{ResponseWriter: httptest.NewRecorder(), began: began, goOn: goOn}) })
+		<-began
+	}
+	w := httptest.NewRecorder()
+	ask(w)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	close(goOn)
+	wg.Wait()
+	w = httptest.NewRecorder()
+	ask(w)
+	require.Equal(t, http.StatusOK, w.Code)
+}
+
 func TestReload(t *testing.T) {
 	b := newBed(t)
 	d := b.daemon
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -29,6 +30,9 @@
 	// goneKey asks for removed targets too.
 	goneKey = "gone"
 	maxNews = 8 << 20
+	// maxServed is the number of peers that are told news at the same time. The
+	// others ask again, or another peer: flows' packets share the VM's link.
+	maxServed = 2
 )
 
 // tell sends a summary to some peers, if it is time. The lock is held.
@@ -214,6 +218,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("peer %s answers %s", from, resp.Status)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxNews))
 	if err != nil {
 		return err
@@ -241,7 +248,15 @@
 // newsHandler serves what a peer lacks.
 func (d *Daemon) newsHandler() http.Handler {
 	mux := http.NewServeMux()
+	served := make(chan struct{}, maxServed)
 	mux.HandleFunc("GET "+newsPath, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case served <- struct{}{}:
+			defer func() { <-served }()
+		default:
+			http.Error(w, "other peers are told news", http.StatusServiceUnavailable)
+			return
+		}
 		var since [fleet.Topics]schema.Version
 		for t := range since {
 			v, err := strconv.ParseUint(r.URL.Query().Get(fleet.Topic(t).String()), 10, 64)
