--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -149,12 +149,13 @@
 			return nil
 		}
 		// The flow was opened by another daemon.
+		c.adopted = now
 		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
 		t.load.flows++
 		t.load.held++
 	}
 	wasBusy, wasOpening := r.asked != 0, r.opened != 0
-	sent := max(r.sent, r.opened)
+	sent, asked := max(r.sent, r.opened), r.asked
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
@@ -166,6 +167,11 @@
 	if answered {
 		c.answer(now, t)
 		c.reached = max(c.reached, sent)
+		if wasBusy {
+			t.servedHere = now
+			t.served = now
+			c.took.add(now, now-asked)
+		}
 	}
 	if answered && wasOpening {
 		c.accepted(now)
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -69,7 +69,7 @@
 	clear(c.darkDCs)
 	c.suspects = slices.DeleteFunc(c.suspects, func(t *Target) bool {
 		t.answers.expire(now)
-		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0 || t.proved())
+		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0 || t.proved() || t.stuck(now))
 		return !t.suspect
 	})
 	if len(c.suspects) == 0 {
@@ -133,7 +133,7 @@
 	if t.gone || c.Deaf(now) || c.justStalled(now) {
 		return false
 	}
-	if t.proved() {
+	if t.proved() || t.stuck(now) {
 		return true
 	}
 	var e evidence
@@ -143,7 +143,7 @@
 
 // avoids reports whether new flows should not go to a target.
 func (c *Core) avoids(now clock.Milli, t *Target) bool {
-	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || t.proved() || t.toldDead(now) {
+	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || t.proved() || t.toldDead(now) || t.stuck(now) {
 		return true
 	}
 	return t.answers.silent() && t.answers.avoid(now, c.admitter(t.Code))
