--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -149,13 +149,12 @@
 			return nil
 		}
 		// The flow was opened by another daemon.
-		c.adopted = now
 		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
 		t.load.flows++
 		t.load.held++
 	}
 	wasBusy, wasOpening := r.asked != 0, r.opened != 0
-	sent, asked := max(r.sent, r.opened), r.asked
+	sent := max(r.sent, r.opened)
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
@@ -170,7 +169,6 @@
 		if wasBusy {
 			t.servedHere = now
 			t.served = now
-			c.took.add(now, now-asked)
 		}
 	}
 	if answered && wasOpening {
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -69,7 +69,7 @@
 	clear(c.darkDCs)
 	c.suspects = slices.DeleteFunc(c.suspects, func(t *Target) bool {
 		t.answers.expire(now)
-		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0 || t.proved() || t.stuck(now))
+		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0 || t.proved())
 		return !t.suspect
 	})
 	if len(c.suspects) == 0 {
@@ -133,7 +133,7 @@
 	if t.gone || c.Deaf(now) || c.justStalled(now) {
 		return false
 	}
-	if t.proved() || t.stuck(now) {
+	if t.proved() {
 		return true
 	}
 	var e evidence
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -62,7 +62,6 @@
 	UnknownCookie
 	TargetGone
 	TargetDark
-	TargetStuck
 	RouteGone
 	NotReady
 	OldView
@@ -72,7 +71,7 @@
 
 var reasonNames = [Reasons]string{
 	"by_cookie", "opened", "copy_of_open", "no_route", "no_target", "unknown_cookie",
-	"target_gone", "target_dark", "target_stuck", "route_gone", "not_ready", "old_view", "cold_budget",
+	"target_gone", "target_dark", "route_gone", "not_ready", "old_view", "cold_budget",
 }
 
 // String implements fmt.Stringer.
@@ -184,9 +183,6 @@
 	missedAll int
 	// reached is when this daemon passed on the latest packet that had an answer.
 	reached clock.Milli
-	// adopted is when a flow that another daemon had first came here: the fabric
-	// spreads flows anew, and some of this daemon's go on elsewhere.
-	adopted clock.Milli
 	// answeredHome is when a target of this data centre last answered.
 	answeredHome clock.Milli
 	// opened is when a target last accepted a new flow, openMisses counts
@@ -195,10 +191,6 @@
 	openMisses int
 	missedAt   clock.Milli
 	alarm      bool
-	// took is how long requests took lately.
-	took tookTimes
-	// steady is set if the fabric leaves flows with their daemon.
-	steady bool
 	// dirty is set if peers told loads that are not added up yet, missesTold
 	// if misses are among them; lastSum is when they last were.
 	dirty      bool
@@ -240,7 +232,6 @@
 		tellers:      make(map[schema.DataCentreID]int),
 		answered:     clock.Never,
 		reached:      clock.Never,
-		adopted:      clock.Never,
 		answeredHome: clock.Never,
 		opened:       clock.Never,
 		missedAt:     clock.Never,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,6 @@
 	d.log = newLines(log, string(cfg.ID), d.metrics)
 	d.crowd = fresh.NewCrowd(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
 	d.useLimits()
-	d.core.SetSteady(cfg.Steady)
 	d.lastTick = d.clock.Now()
 	if !d.crowd.Alone() {
 		d.reader.Await(d.lastTick, d.crowd.Lot())
--- a/internal/setup/entry.go
+++ b/internal/setup/entry.go
@@ -29,8 +29,6 @@
 	Bounds Bounds
 	// MemoryMB is the VM's limit, zero if none is known.
 	MemoryMB int
-	// Steady is set if the fabric leaves flows with their daemon when others join.
-	Steady bool
 }
 
 // Bounds are the spans within which the deployment expects effects.
