--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -52,6 +52,8 @@
 	store   store
 	daemons []*daemon
 	at      map[netip.AddrPort]*daemon
+	// apart tells which data centres can't reach each other; nil if all can.
+	apart func(x, y schema.DataCentreID) bool
 }
 
 func addr(n int) netip.AddrPort {
@@ -133,7 +135,7 @@
 	audience, named := d.crowd.Audience(w.now)
 	for _, to := range audience {
 		if x := w.at[to]; x != nil {
-			if x.dead || x.cut {
+			if x.dead || x.cut || w.apart != nil && w.apart(dcOf(d.n), dcOf(x.n)) {
 				continue
 			}
 			if !x.crowd.Summary(w.now, d.addr, schema.VMID(fmt.Sprint(d.n)), dcOf(d.n), 1, d.seq, false) {
@@ -366,6 +368,42 @@
 	}
 }
 
+// Load: two data centres can't reach each other while the third reaches both
+// (bridge_cut): "alive" is not transitive. Ages stay young, hardly a daemon takes itself
+// for cut off, a target has two admitters at most, and calls hardly grow.
+func TestBridgeCut(t *testing.T) {
+	for _, n := range []int{9, 60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newWorld(n)
+			w.run(6 * clock.Second)
+			w.apart = func(x, y schema.DataCentreID) bool { return x != "c" && y != "c" && x != y }
+			before, lonely := w.store.calls, 0
+			for range 50 {
+				w.run(200)
+				w.store.rev++
+				require.Less(t, w.oldest(), bound)
+				for _, d := range w.daemons {
+					if d.crowd.CutOff(w.now) {
+						lonely++
+					}
+				}
+			}
+			t.Logf("%d of %d times", lonely, 50*n)
+			require.LessOrEqual(t, lonely, 50*n/20, "a daemon may miss the others for a moment: a few hear of each")
+			for code := range fleet.Code(20) {
+				admitters := 0
+				for _, d := range w.daemons {
+					if d.crowd.Admits(w.now, 1+code<<20) {
+						admitters++
+					}
+				}
+				require.LessOrEqual(t, admitters, 2, "two halves of the rate at most")
+			}
+			require.LessOrEqual(t, w.store.calls-before, 4*10+n/2)
+		})
+	}
+}
+
 // Load: all daemons were killed and clients wait.
 func TestWantedDeploymentIsListedAtOnce(t *testing.T) {
 	r := New(bound, 0)
