--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -20,9 +20,9 @@
 	probeTook = 250 * clock.Milli(1)
 	// doubtFor is how long an unanswered packet is a reason for probes.
 	doubtFor = 3 * clock.Second
-	// tellDead is the number of summaries in which a daemon tells of a target
+	// proofTold is the number of summaries in which a daemon tells of a target
 	// that accepts no connection, maxSuspects how many one summary names.
-	tellDead    = 6
+	proofTold   = 6
 	maxSuspects = 128
 	// toldDeadFor is how long word of such a target keeps new flows away.
 	toldDeadFor = 1500 * clock.Milli(1)
@@ -67,8 +67,8 @@
 // the reason to probe, a failed probe the proof. Daemons tell each other of proofs;
 // each proves it for itself before it ends flows.
 type probing struct {
-	// since is when the packet without an answer was sent, zero if a probe
-	// settled that; sure is set if it was sent again.
+	// since is when the first packet without an answer was sent, zero if a probe
+	// settled that; sure is set if one was sent again.
 	since clock.Milli
 	sure  bool
 	// listed is set while the target is among the core's questions, busy while
@@ -80,8 +80,8 @@
 	silent clock.Milli
 	// dead is set once a probe proved that the target does not answer.
 	dead bool
-	// toldAt is when a peer proved that, told how often this daemon may still
-	// tell it.
+	// toldAt is when this daemon or a peer proved that, tell in how many summaries
+	// it is still to be told.
 	toldAt clock.Milli
 	tell   int
 }
@@ -160,7 +160,8 @@
 	}
 }
 
-// prove notes that a target is dead, unless this daemon did not run just now.
+// prove notes that a target is dead, unless this daemon hears nobody or did not run
+// just now.
 func (c *Core) prove(now clock.Milli, t *Target) {
 	if c.Deaf(now) || c.justStalled(now) || t.probing.dead {
 		return
@@ -173,7 +174,7 @@
 // tellDead has the next summaries tell that a target is dead.
 func (c *Core) tellDead(now clock.Milli, t *Target) {
 	p := &t.probing
-	p.toldAt, p.tell = now, tellDead
+	p.toldAt, p.tell = now, proofTold
 	c.proofs = append(c.proofs, t)
 	c.alarm = true
 }
@@ -207,7 +208,7 @@
 			continue
 		}
 		if p := &t.probing; p.toldAt == 0 || at > p.toldAt+toldDeadFor {
-			p.toldAt, p.tell = at, tellDead
+			p.toldAt, p.tell = at, proofTold
 			c.proofs = append(c.proofs, t)
 			c.alarm = true
 			if t.load.held > 0 {
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -187,7 +187,7 @@
 	word := []fleet.Suspect{{Code: idle.target.Code, Age: 40}, {Code: target3Code(), Age: 40}}
 	b.core.TakeSuspects(b.now, word)
 	require.True(t, b.core.Alarm(), "it is told on soon")
-	for n := range tellDead {
+	for n := range proofTold {
 		require.Len(t, b.core.Suspects(b.now), 2, "summary %d", n)
 		b.core.TakeSuspects(b.now, word)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -207,7 +207,7 @@
 	sup.Add(duty.Duty{Name: "peers", Run: d.hear})
 	sup.Add(duty.Duty{Name: "puller", Run: d.pullNews})
 	for range probers {
-		sup.Add(duty.Duty{Name: "prober", Run: d.proves})
+		sup.Add(duty.Duty{Name: "prober", Run: d.probe})
 	}
 	sup.Add(duty.Duty{Name: "settings", Run: d.watchSettings})
 	sup.Add(duty.Duty{Name: "ready", Run: duty.HTTP(d.ready, d.readyHandler())})
--- a/internal/entry/prove.go
+++ b/internal/entry/probe.go
@@ -11,8 +11,8 @@
 // probers is the number of probes made at the same time.
 const probers = steer.MaxProbes
 
-// proves makes the probes that the core asks for.
-func (d *Daemon) proves(ctx context.Context) error {
+// probe makes the probes that the core asks for.
+func (d *Daemon) probe(ctx context.Context) error {
 	return duty.Drain(ctx, d.probes, func(p steer.Probe) {
 		o := outcomeOf(reach.Try(ctx, p.Address))
 		d.mu.Lock()
