--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -104,9 +104,6 @@
 	if t.probing.dead || t.toldDead(now) {
 		add("accepts no connection: proved here %t, by a peer %t", t.proved(), t.toldDead(now))
 	}
-	if t.stuck(now) {
-		add("took requests and answered none for %d ms and more", stuckAfter)
-	}
 	if c.dark(now, t) {
 		add("dark: its flows are ended")
 	}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -166,10 +166,6 @@
 	if answered {
 		c.answer(now, t)
 		c.reached = max(c.reached, sent)
-		if wasBusy {
-			t.servedHere = now
-			t.served = now
-		}
 	}
 	if answered && wasOpening {
 		c.accepted(now)
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -143,7 +143,7 @@
 
 // avoids reports whether new flows should not go to a target.
 func (c *Core) avoids(now clock.Milli, t *Target) bool {
-	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || t.proved() || t.toldDead(now) || t.stuck(now) {
+	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || t.proved() || t.toldDead(now) {
 		return true
 	}
 	return t.answers.silent() && t.answers.avoid(now, c.admitter(t.Code))
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -19,8 +19,6 @@
 	peerBusy  int
 	// held counts the open flows that this daemon remembers, idle ones too.
 	held int
-	// waiting counts this daemon's requests without an answer, however old.
-	waiting int
 }
 
 const (
@@ -83,7 +81,6 @@
 			Sure:   uint16(sure),
 			Since:  now - since,
 			Heard:  now - t.answers.last,
-			Served: now - t.servedHere,
 		})
 	}
 	return list
@@ -112,9 +109,6 @@
 		if l.Heard < missFor {
 			c.peerHeard(l.Code, now-l.Heard)
 		}
-		if t := c.codes[l.Code]; t != nil {
-			t.served = max(t.served, now-l.Served)
-		}
 		p.put(peerLoad{code: l.Code, flows: int(l.Flows), busy: int(l.Busy), missed: int(l.Missed), sure: int(l.Sure), since: now - l.Since})
 	}
 	c.dirty = true
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -31,7 +31,6 @@
 	c.lastScan = now
 	c.scan(now)
 	c.sumLoads(now)
-	c.scanStuck(now)
 	c.book.Forget(now)
 	c.forgetTargets(now)
 }
@@ -55,7 +54,7 @@
 // anew, and ends the idle flows of targets that are gone.
 func (c *Core) scan(now clock.Milli) {
 	for _, t := range c.list {
-		t.load.flows, t.load.busy, t.load.held, t.load.waiting = 0, 0, 0, 0
+		t.load.flows, t.load.busy, t.load.held = 0, 0, 0
 	}
 	for tuple, r := range c.flows.records {
 		silent := now - r.seen
@@ -72,9 +71,6 @@
 			continue
 		}
 		r.target.load.held++
-		if r.asked != 0 {
-			r.target.load.waiting++
-		}
 		if silent > activeFor {
 			continue
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -106,12 +106,7 @@
 	load    load
 	answers answers
 	probing probing
-	// served is when a request was last answered, here or at a peer; servedHere
-	// is when one was here, stuckAt when the target was last found to answer none.
-	served     clock.Milli
-	servedHere clock.Milli
-	stuckAt    clock.Milli
-	cold       budget
+	cold    budget
 }
 
 // Route is a compiled route.
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -180,10 +180,8 @@
 	Missed uint16
 	Sure   uint16
 	Since  clock.Milli
-	// Heard is how long ago the target last answered a flow, Served how long ago
-	// it last answered a request, in milliseconds.
-	Heard  clock.Milli
-	Served clock.Milli
+	// Heard is how long ago the target last answered a flow, in milliseconds.
+	Heard clock.Milli
 }
 
 // Suspect is a target that accepts no connection, as the sender or a peer of it
