--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -95,8 +95,13 @@
 	{"target dark", func(s *System) func() {
 		t := s.pickTarget()
 		done := t.calm.disturb()
-		t.setDark(true)
-		return func() { t.setDark(false); t.beat(); done() }
+		t.setDark()
+		return func() {
+			if err := t.setBright(); err != nil {
+				s.soakFailed(t.id, "target %s does not listen again: %s", t.id, err)
+			}
+			done()
+		}
 	}, 0},
 	{"target crashes", func(s *System) func() {
 		t := s.pickTarget()
@@ -190,12 +195,17 @@
 		return
 	}
 	if err := s.start(d); err != nil {
-		s.judge.mu.Lock()
-		s.judge.fail("soak", d.id, "daemon %s does not start: %s", d.id, err)
-		s.judge.mu.Unlock()
+		s.soakFailed(d.id, "daemon %s does not start: %s", d.id, err)
 	}
 }
 
+// soakFailed notes a fault of the soak itself.
+func (s *System) soakFailed(about, format string, args ...any) {
+	s.judge.mu.Lock()
+	defer s.judge.mu.Unlock()
+	s.judge.fail("soak", about, format, args...)
+}
+
 func (s *System) pickDaemon() *daemon { return s.daemons[s.rand()%uint64(len(s.daemons))] }
 
 // alive returns the targets that stay.
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -122,7 +122,7 @@
 	targets := s.targets
 	s.mu.Unlock()
 	for _, t := range targets {
-		_ = t.conn.Close()
+		t.close()
 	}
 	s.wg.Wait()
 	for _, d := range s.daemons {
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -52,6 +52,8 @@
 	dark  bool
 	gone  bool
 	flows map[flow.Tuple]*targetFlow
+	// health takes the connections of health checks; nil while nothing listens.
+	health net.Listener
 }
 
 // targetFlow is a flow at its target.
@@ -74,10 +76,55 @@
 		id: fmt.Sprintf("i-%08x", 0x5eed0000+n), num: uint64(0x5eed0000 + n), pool: pool, zone: z, sys: s,
 		conn: conn, addr: addr, born: time.Now().UnixMilli(), flows: make(map[flow.Tuple]*targetFlow),
 	}
+	if err := t.listen(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	s.wg.Go(t.serve)
 	return t, nil
 }
 
+// listen opens the TCP port of the target's health checks. It accepts connections
+// and closes them.
+func (t *target) listen() error {
+	l, err := net.Listen("tcp4", t.addr.String())
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.gone {
+		return l.Close()
+	}
+	t.health = l
+	t.sys.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	})
+	return nil
+}
+
+// refuse closes the TCP port, as the end of the target's process does.
+func (t *target) refuse() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.health != nil {
+		_ = t.health.Close()
+		t.health = nil
+	}
+}
+
+// close ends the use of the target's sockets.
+func (t *target) close() {
+	_ = t.conn.Close()
+	t.refuse()
+}
+
 func (t *target) leaving() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -100,10 +147,32 @@
 	t.beat()
 }
 
-func (t *target) setDark(v bool) {
+// setDark has the target answer nobody. Of every two targets one refuses
+// connections then, the other still accepts them.
+func (t *target) setDark() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.dark = v
+	t.dark = true
+	t.mu.Unlock()
+	if t.num%2 == 0 {
+		t.refuse()
+	}
+}
+
+// setBright ends that.
+func (t *target) setBright() error {
+	t.mu.Lock()
+	refuses := t.health == nil
+	t.mu.Unlock()
+	if refuses {
+		if err := t.listen(); err != nil {
+			return err
+		}
+	}
+	t.mu.Lock()
+	t.dark = false
+	t.mu.Unlock()
+	t.beat()
+	return nil
 }
 
 // beat writes the target's entry, if the store takes it.
@@ -129,7 +198,7 @@
 		t.flows = nil
 		t.mu.Unlock()
 		t.sys.store.Drop(targetsKind, t.id)
-		_ = t.conn.Close()
+		t.close()
 	})
 }
 
