--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -231,9 +231,6 @@
 // Greets reports whether daemons that just joined wait for a summary.
 func (c *Crowd) Greets() bool { return len(c.greet) > 0 }
 
-// Lot returns a number from 0 to 1 that differs between daemons.
-func (c *Crowd) Lot() float64 { return float64(c.score) / (1 << 64) }
-
 // Alone reports whether no other daemon is known, not even a seed.
 func (c *Crowd) Alone() bool { return len(c.seeds)+len(c.list) == 0 }
 
--- a/internal/coordination/fresh/fresh.go
+++ b/internal/coordination/fresh/fresh.go
@@ -28,6 +28,9 @@
 	firstPart = 0.43
 	nextPart  = 0.1
 	maxRank   = 3
+	// relistPart is the part of the bound, and up to as much again, that a daemon
+	// waits for peers before it lists what the store dropped the history of.
+	relistPart = 6
 	// newsPart is the part of the bound by which an age must shrink to be
 	// worth telling at once.
 	newsPart = 8
@@ -42,10 +45,13 @@
 	// listed before it reads for itself.
 	peersFirst = 500 * clock.Milli(1)
 	// firstAwait is how long a new daemon waits for peers to tell it everything.
-	// By its lot it waits up to awaitSpread more, there and for peersFirst, so
-	// that of many that start together few read.
-	firstAwait   = 150 * clock.Milli(1)
-	awaitSpread  = 2 * clock.Second
+	// By its jitter it waits up to awaitSpread more, there and for peersFirst, so
+	// that of many that start together few list.
+	firstAwait  = 150 * clock.Milli(1)
+	awaitSpread = 2 * clock.Second
+	maxJitter   = 100
+	// allAfter is how long peers know more before one is asked for everything.
+	allAfter     = 400 * clock.Milli(1)
 	firstBackoff = 100 * clock.Milli(1)
 	maxBackoff   = 800 * clock.Milli(1)
 	// maxSlower bounds by how much the back-off of later ranks is longer.
@@ -87,6 +93,10 @@
 	relist    [fleet.Topics]bool
 	// newest is the highest revision that the store is known to have.
 	newest schema.Version
+	// heard are the highest revisions of the topics that peers know, behind is
+	// since when this daemon knows less, Never if it does not.
+	heard  [fleet.Topics]schema.Version
+	behind [fleet.Topics]clock.Milli
 	busy   bool
 	// listed is when the last first list ended, or a peer had told everything.
 	listed  clock.Milli
@@ -95,36 +105,42 @@
 	// news is set when something was learned that peers should hear soon.
 	news bool
 	// awaits is since when peers may tell everything, Never if somebody waits for
-	// it already; later is what the lot adds.
+	// it already.
 	awaits clock.Milli
-	later  clock.Milli
-	// jitter spreads the limits of daemons of equal rank.
+	// lostAt is when the store last had dropped the history that was asked for.
+	lostAt clock.Milli
+	// jitter, below maxJitter, spreads what daemons of equal rank do.
 	jitter clock.Milli
 }
 
 // New returns the reader of a daemon. Bound is the tightest time within which
 // news must be in force; jitter differs between daemons.
 func New(bound clock.Milli, jitter uint64) *Reader {
-	r := &Reader{bound: bound, alone: true, last: clock.Never, listed: clock.Never, awaits: clock.Never, jitter: clock.Milli(jitter % 100)}
+	r := &Reader{bound: bound, alone: true, last: clock.Never, listed: clock.Never, awaits: clock.Never, lostAt: clock.Never, jitter: clock.Milli(jitter % maxJitter)}
 	for t := range r.confirmed {
-		r.confirmed[t] = clock.Never
+		r.confirmed[t], r.behind[t] = clock.Never, clock.Never
 	}
 	return r
 }
 
-// Await has the first lists wait for peers, which cost the store nothing. Lot, 0 to
-// 1, differs between daemons. It ends with Want.
-func (r *Reader) Await(now clock.Milli, lot float64) {
-	r.awaits = now
-	r.later = clock.Milli(lot * float64(awaitSpread))
-}
+// Await has the first lists wait for peers, which cost the store nothing. It ends
+// with Want.
+func (r *Reader) Await(now clock.Milli) { r.awaits = now }
 
 // Want notes that packets wait for the deployment to be known.
 func (r *Reader) Want() { r.awaits = clock.Never }
 
-// awaiting reports whether a peer may still tell everything.
-func (r *Reader) awaiting(now clock.Milli) bool {
-	return r.awaits != clock.Never && now-r.awaits < firstAwait+r.later
+// later is what this daemon's jitter adds to a wait for peers.
+func (r *Reader) later() clock.Milli { return r.jitter * awaitSpread / maxJitter }
+
+// awaiting reports whether a peer may still tell everything of a topic that this
+// daemon must list.
+func (r *Reader) awaiting(now clock.Milli, t fleet.Topic) bool {
+	if r.relist[t] {
+		wait := r.bound / relistPart
+		return r.rank != 0 && !r.alone && now-r.lostAt < wait+wait*r.jitter/maxJitter
+	}
+	return r.awaits != clock.Never && now-r.awaits < firstAwait+r.later()
 }
 
 // SetBound changes the tightest bound.
@@ -173,10 +189,10 @@
 
 func (r *Reader) next(now clock.Milli) (Call, bool) {
 	for t := fleet.Topic(0); t < fleet.Topics; t++ {
-		if r.revs[t] == 0 && !r.relist[t] && r.awaiting(now) {
-			return Call{}, false
-		}
 		if r.revs[t] == 0 || r.relist[t] {
+			if r.awaiting(now, t) {
+				return Call{}, false
+			}
 			// The first lists may be stale: they cost a tenth, and are
 			// confirmed by a peer or by the next read.
 			return Call{Topic: t, List: true, Stale: !r.relist[t]}, true
@@ -207,7 +223,7 @@
 // what it listed.
 func (r *Reader) leavesItToPeers(now clock.Milli) bool {
 	if r.awaits != clock.Never && !r.alone && slices.Contains(r.confirmed[:], clock.Never) {
-		return now-r.listed < peersFirst+r.later
+		return now-r.listed < peersFirst+r.later()
 	}
 	return (r.rank != 0 || r.alone) && now-r.listed < peersFirst
 }
@@ -229,7 +245,7 @@
 		r.backoff = min(maxBackoff*slower, max(firstBackoff*slower*slower, 2*r.backoff))
 		return
 	case Lost:
-		r.relist[c.Topic] = true
+		r.relist[c.Topic], r.lostAt = true, now
 		r.backoff = 0
 		return
 	}
@@ -273,17 +289,30 @@
 	if rev < r.revs[t] {
 		return
 	}
-	r.news = r.news || rev > r.revs[t]
+	if rev > r.revs[t] {
+		r.news, r.relist[t] = true, false // the history from there on may be kept
+	}
 	r.revs[t] = rev
+	if rev >= r.heard[t] {
+		r.behind[t] = clock.Never
+	}
 	r.confirm(t, began)
 }
 
 // Heard takes a peer's word that the store's newest revision of a topic was
 // rev at the time that it was confirmed. It reports whether the peer knows
-// more.
-func (r *Reader) Heard(t fleet.Topic, rev schema.Version, confirmed clock.Milli) bool {
+// more. If the store answered since this daemon's last read failed, there is no
+// outage to wait for the end of.
+func (r *Reader) Heard(now clock.Milli, t fleet.Topic, rev schema.Version, confirmed clock.Milli) bool {
+	if confirmed > r.last {
+		r.backoff = min(r.backoff, maxBackoff)
+	}
 	if rev > r.revs[t] {
 		r.newest = max(r.newest, rev)
+		r.heard[t] = max(r.heard[t], rev)
+		if r.behind[t] == clock.Never {
+			r.behind[t] = now
+		}
 		return true
 	}
 	if rev == r.revs[t] {
@@ -292,6 +321,12 @@
 	return false
 }
 
+// AsksAll reports whether a peer should tell everything of a topic if it can't tell
+// the changes: peers have known more for a while, or the store dropped the history.
+func (r *Reader) AsksAll(now clock.Milli, t fleet.Topic) bool {
+	return r.relist[t] || r.behind[t] != clock.Never && now-r.behind[t] > allAfter
+}
+
 // Paused forgets the ages after a pause of this process: what waited in its
 // queues is older than it says.
 func (r *Reader) Paused() {
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -29,6 +29,10 @@
 	silent map[int]bool
 	down   bool
 	lost   bool
+	// floor is the revision before which the history is dropped, lists counts the
+	// lists that may not be stale.
+	floor schema.Version
+	lists int
 	// refuses makes every read fail at once.
 	refuses bool
 }
@@ -45,6 +49,8 @@
 	ends   clock.Milli
 	dead   bool
 	cut    bool
+	// floor is the revision since which the daemon can tell the changes.
+	floor schema.Version
 }
 
 type world struct {
@@ -99,9 +105,12 @@
 			d.reader.Done(w.now, d.began, c, Failed, 0)
 		} else if c.Stale {
 			d.reader.Done(w.now, d.began, c, Read, w.store.rev-5)
-		} else if w.store.lost && !c.List {
+		} else if (w.store.lost || c.Since < w.store.floor) && !c.List {
 			d.reader.Done(w.now, d.began, c, Lost, 0)
 		} else {
+			if c.List && c.Topic == fleet.Targets {
+				d.floor = w.store.rev
+			}
 			d.reader.Done(w.now, d.began, c, Read, w.store.rev)
 		}
 	}
@@ -109,6 +118,9 @@
 		if c, ok := d.reader.Next(w.now); ok {
 			w.store.calls++
 			w.store.tenths += 10
+			if c.List && !c.Stale && c.Topic == fleet.Targets {
+				w.store.lists++
+			}
 			if c.Stale {
 				w.store.tenths -= 9
 			}
@@ -146,7 +158,11 @@
 			}
 			for t := range d.reader.revs {
 				topic := fleet.Topic(t)
-				if x.reader.Heard(topic, d.reader.revs[t], d.reader.confirmed[t]) {
+				more := x.reader.Heard(w.now, topic, d.reader.revs[t], d.reader.confirmed[t])
+				if more && (topic != fleet.Targets || x.reader.revs[t] >= d.floor || x.reader.AsksAll(w.now, topic)) {
+					if x.reader.revs[t] < d.floor {
+						x.floor = d.reader.revs[t]
+					}
 					x.reader.Learn(topic, d.reader.revs[t], d.reader.confirmed[t])
 				}
 			}
@@ -241,6 +257,26 @@
 	require.Less(t, w.oldest(), bound)
 }
 
+// Load: the store drops its history while things change. Who lists has no history
+// either, and tells others everything only if they ask for that.
+func TestDroppedHistoryIsListedByFew(t *testing.T) {
+	for _, n := range []int{7, 80, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newWorld(n)
+			w.run(6 * clock.Second)
+			w.store.rev += 5
+			w.store.floor = w.store.rev
+			w.store.lists = 0
+			w.run(4 * clock.Second)
+			for _, d := range w.daemons {
+				require.GreaterOrEqual(t, d.reader.revs[fleet.Targets], w.store.rev, "daemon %d", d.n)
+			}
+			require.LessOrEqual(t, w.store.lists, 3+n/10)
+			require.Less(t, w.oldest(), bound)
+		})
+	}
+}
+
 // Load: an outage ends; the store must not be stormed.
 func TestOutageEndsWithoutAStorm(t *testing.T) {
 	w := newWorld(80)
@@ -349,7 +385,7 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			w := newWorld(n)
 			for _, d := range w.daemons {
-				d.reader.Await(w.now, d.crowd.Lot())
+				d.reader.Await(w.now)
 			}
 			w.run(3 * clock.Second)
 			require.Less(t, w.oldest(), bound*4/5, "confirmed everywhere")
@@ -357,7 +393,7 @@
 			before := w.store.tenths
 			for i := range 1 + n/10 {
 				d := w.join(n + i)
-				d.reader.Await(w.now, d.crowd.Lot())
+				d.reader.Await(w.now)
 			}
 			w.run(clock.Second)
 			for _, d := range w.daemons {
@@ -390,7 +426,7 @@
 			}
 			t.Logf("%d of %d times", lonely, 50*n)
 			require.LessOrEqual(t, lonely, 50*n/20, "a daemon may miss the others for a moment: a few hear of each")
-			for code := range fleet.Code(20) {
+			for code := range fleet.Code(100) {
 				admitters := 0
 				for _, d := range w.daemons {
 					if d.crowd.Admits(w.now, 1+code<<20) {
@@ -404,10 +440,38 @@
 	}
 }
 
+// Load: the store drops its history and cuts a watch; one read of a late rank fails,
+// and its peers know more but can't tell it. The store answers others by then. Found
+// by scale-2 of lin-crest-large: 300 daemons kept a view of 13 s, and one opened a flow
+// on a target that had drained for longer than its bound.
+func TestPeersWordOfTheStoreEndsBackoff(t *testing.T) {
+	r := New(bound, 0)
+	r.SetRank(20, false)
+	for topic := range fleet.Topics {
+		r.Learn(topic, 602, start)
+	}
+	now := start + bound
+	c, ok := r.Next(now)
+	require.True(t, ok)
+	r.Done(now, now, c, Failed, 0)
+	_, ok = r.Next(now + 3*clock.Second)
+	require.False(t, ok, "the first ranks notice the end of an outage for all")
+	require.True(t, r.Heard(now+500, fleet.Targets, 671, now-100))
+	_, ok = r.Next(now + 3*clock.Second)
+	require.False(t, ok, "what the store told before says nothing")
+	require.True(t, r.Heard(now+1000, fleet.Targets, 671, now+900))
+	require.False(t, r.AsksAll(now+500+allAfter, fleet.Targets))
+	require.True(t, r.AsksAll(now+501+allAfter, fleet.Targets))
+	_, ok = r.Next(now + 2*clock.Second)
+	require.True(t, ok)
+	r.Learn(fleet.Targets, 671, clock.Never)
+	require.False(t, r.AsksAll(now+2500, fleet.Targets))
+}
+
 // Load: all daemons were killed and clients wait.
 func TestWantedDeploymentIsListedAtOnce(t *testing.T) {
 	r := New(bound, 0)
-	r.Await(start, 0)
+	r.Await(start)
 	_, ok := r.Next(start)
 	require.False(t, ok)
 	r.Want()
@@ -420,7 +484,7 @@
 func TestAwaitEnds(t *testing.T) {
 	for _, rank := range []int{0, 1, 9} {
 		r := New(bound, 99)
-		r.Await(start, 1)
+		r.Await(start)
 		r.SetRank(rank, rank == 0)
 		_, ok := r.Next(start + firstAwait + awaitSpread)
 		require.True(t, ok)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,7 @@
 	d.useLimits()
 	d.lastTick = d.clock.Now()
 	if !d.crowd.Alone() {
-		d.reader.Await(d.lastTick, d.crowd.Lot())
+		d.reader.Await(d.lastTick)
 	}
 	loaded := *cfg
 	d.loaded = &loaded
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -25,11 +25,14 @@
 	pullTimeout = 600 * time.Millisecond
 	newsPath    = "/news"
 	// maxWhole is the number of targets up to which a daemon that can't tell the
-	// changes alone tells all; beyond it the other asks another peer, or reads.
-	maxWhole = 1500
-	// goneKey asks for removed targets too.
-	goneKey = "gone"
-	maxNews = 8 << 20
+	// changes alone tells all; beyond it the other asks another peer, and for
+	// everything only if it must.
+	maxWhole = 500
+	// goneKey asks for removed targets too, wholeKey for all if the changes alone
+	// can't be told.
+	goneKey  = "gone"
+	wholeKey = "whole"
+	maxNews  = 8 << 20
 	// maxServed is the number of peers that are told news at the same time. The
 	// others ask again, or another peer: flows' packets share the VM's link.
 	maxServed = 2
@@ -169,7 +172,7 @@
 		if s.Known[t].Age >= 0 {
 			confirmed = now - s.Known[t].Age
 		}
-		behind = d.reader.Heard(topic, s.Known[t].Rev, confirmed) || behind
+		behind = d.reader.Heard(now, topic, s.Known[t].Rev, confirmed) || behind
 	}
 	// A new daemon asks a peer even if it knows what the store tells: only
 	// peers know the targets that are gone.
@@ -200,11 +203,15 @@
 	d.mu.Lock()
 	revs := d.core.Book().Revs()
 	recall := !d.recalled
+	whole := d.reader.AsksAll(d.clock.Now(), fleet.Targets)
 	d.mu.Unlock()
 	url := "http://" + from.String() + newsPath + "?"
 	if recall {
 		url += goneKey + "=1&"
 	}
+	if whole {
+		url += wholeKey + "=1&"
+	}
 	for t, rev := range revs {
 		url += fleet.Topic(t).String() + "=" + strconv.FormatUint(uint64(rev), 10) + "&"
 	}
@@ -266,7 +273,7 @@
 			}
 			since[t] = schema.Version(v)
 		}
-		body, err := digest.Encode(d.newsSince(since, r.URL.Query().Has(goneKey)))
+		body, err := digest.Encode(d.newsSince(since, r.URL.Query().Has(goneKey), r.URL.Query().Has(wholeKey)))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -276,9 +283,9 @@
 	return mux
 }
 
-// newsSince returns what a peer lacks, and the removed targets if it asks for
-// them.
-func (d *Daemon) newsSince(since [fleet.Topics]schema.Version, gone bool) *digest.News {
+// newsSince returns what a peer lacks: the removed targets too if it asks for them,
+// and everything, however much, if it must.
+func (d *Daemon) newsSince(since [fleet.Topics]schema.Version, gone, whole bool) *digest.News {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
@@ -289,7 +296,7 @@
 		switch {
 		case gone && topic == fleet.Targets && since[t] != 0 && book.Rev(topic) != 0:
 			n.Updates = append(n.Updates, book.Recall(now, since[t]))
-		case book.Rev(topic) <= since[t], since[t] != 0 && !book.Tells(topic, since[t]) && book.Len(topic) > maxWhole:
+		case book.Rev(topic) <= since[t], since[t] != 0 && !whole && !book.Tells(topic, since[t]) && book.Len(topic) > maxWhole:
 			continue
 		default:
 			n.Updates = append(n.Updates, book.Since(now, topic, since[t]))
