--- a/internal/coordination/fresh/crowd.go
+++ b/internal/coordination/fresh/crowd.go
@@ -15,8 +15,15 @@
 const (
 	// suspectAfter is the silence after which a peer has no rank.
 	suspectAfter = 1500 * clock.Milli(1)
-	// forgetAfter is the silence after which a peer's address is dropped.
+	// memberEach is the silence, for each peer of a large crowd, after which a peer
+	// counts as gone, memberLeast the least: a daemon hears of some 80 peers a second,
+	// so all but a few in a thousand that live are heard of within that.
+	memberEach  = 75 * clock.Milli(1)
+	memberLeast = 6 * clock.Second
+	// forgetAfter is the least silence after which a peer's address is dropped,
+	// knownFor the least in which summaries go there.
 	forgetAfter = clock.Minute
+	knownFor    = forgetAfter / 2
 	// fullMesh is the number of peers up to which all get every summary.
 	fullMesh = 10
 	// nearFanOut and farFanOut are the numbers of peers of this data centre
@@ -25,15 +32,18 @@
 	nearFanOut = 3
 	farFanOut  = 1
 	// tellFirst is the number of peers of the first ranks, tellOthers that of
-	// any others, that a summary names.
+	// any others, that a summary names: as many as a daemon hears itself in the
+	// time between two summaries.
 	tellFirst  = 3
-	tellOthers = 2
+	tellOthers = nearFanOut + farFanOut
 	// tellNew is the number that a summary names when it goes to a daemon
 	// that just joined, maxGreet how many of those it goes to; maxWaiting
 	// bounds those that wait for one.
 	tellNew    = 16
 	maxGreet   = 16
 	maxWaiting = 1024
+	// maxToTell bounds the peers that wait to be named.
+	maxToTell = 64
 )
 
 // Peer is another daemon.
@@ -60,6 +70,9 @@
 	// list holds the peers by rank, the first ones first.
 	list  []*Peer
 	seeds []netip.AddrPort
+	// toTell lists the peers that were heard themselves since they were last named,
+	// the latest last.
+	toTell []*Peer
 	// greet lists the daemons that joined since the last summary.
 	greet []netip.AddrPort
 	round uint64
@@ -110,6 +123,10 @@
 	}
 	p.ID, p.DataCentre, p.incarnation, p.seq, p.leaving = id, dc, incarnation, seq, leaving
 	p.heard, p.direct = now, now
+	c.toTell = append(c.toTell, p)
+	if len(c.toTell) > maxToTell {
+		c.toTell = slices.Delete(c.toTell, 0, 1)
+	}
 	if dc != c.dc {
 		c.far = now
 	}
@@ -155,7 +172,27 @@
 	return !p.leaving && now-p.heard <= span
 }
 
-// Alive returns the number of peers that live.
+// member reports whether a peer is not known to be gone. Unlike alive it is about
+// any peer, not those of the first ranks, which all summaries name.
+func (c *Crowd) member(p *Peer, now clock.Milli) bool {
+	return p.alive(now, len(c.list)) || !p.leaving && len(c.list) > fullMesh && now-p.heard <= c.memberFor()
+}
+
+// memberFor is the silence after which a peer of a large crowd counts as gone.
+func (c *Crowd) memberFor() clock.Milli { return max(memberLeast, memberEach*clock.Milli(len(c.list))) }
+
+// Members returns the number of peers that are not known to be gone.
+func (c *Crowd) Members(now clock.Milli) int {
+	n := 0
+	for _, p := range c.list {
+		if c.member(p, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Alive returns the number of peers that were heard of lately.
 func (c *Crowd) Alive(now clock.Milli) int {
 	n := 0
 	for _, p := range c.list {
@@ -182,11 +219,11 @@
 }
 
 // Admits reports whether this daemon admits the opens of a cold target: the
-// one of those that live with the highest score for it.
+// member with the highest score for it.
 func (c *Crowd) Admits(now clock.Milli, code fleet.Code) bool {
 	mine := mix(c.score, code)
 	for _, p := range c.list {
-		if p.alive(now, len(c.list)) && mix(p.score, code) > mine {
+		if mix(p.score, code) > mine && c.member(p, now) {
 			return false
 		}
 	}
@@ -241,12 +278,12 @@
 	return append(list, a)
 }
 
-// known returns the addresses of the peers heard within the last half minute,
-// of this data centre and of others, in a fixed order.
+// known returns the addresses of the peers heard of lately, of this data centre and
+// of others, in a fixed order.
 func (c *Crowd) known(now clock.Milli) (near, far []netip.AddrPort) {
 	for _, p := range c.list {
 		switch {
-		case now-p.heard > forgetAfter/2:
+		case now-p.heard > max(knownFor, c.memberFor()):
 		case p.DataCentre == c.dc:
 			near = append(near, p.Addr)
 		default:
@@ -271,8 +308,8 @@
 }
 
 // neighbours returns the peers to tell others of: those of the first ranks,
-// which every daemon must know to be alive, and some that change from round
-// to round.
+// which every daemon must know to be alive, and n more. Those are the ones that
+// this daemon heard itself since it last told of them, then any.
 func (c *Crowd) neighbours(now clock.Milli, n int) []*Peer {
 	var alive []*Peer
 	for _, p := range c.list {
@@ -285,8 +322,16 @@
 	}
 	list := alive[:tellFirst:tellFirst]
 	others := alive[tellFirst:]
-	for i := range uint64(n) {
-		list = append(list, others[mix(c.seed+c.round+i, fleet.Code(c.round))%uint64(len(others))])
+	for len(c.toTell) > 0 && len(list) < tellFirst+n {
+		last := c.toTell[len(c.toTell)-1]
+		c.toTell = c.toTell[:len(c.toTell)-1]
+		if last.alive(now, len(c.list)) && !slices.Contains(list, last) {
+			list = append(list, last)
+		}
+	}
+	for i := uint64(0); len(list) < tellFirst+min(n, len(others)); i++ {
+		p := others[mix(c.seed+c.round+i, fleet.Code(c.round))%uint64(len(others))]
+		list = append(list, p)
 	}
 	return list
 }
@@ -305,8 +350,9 @@
 
 // Forget drops peers that fell silent.
 func (c *Crowd) Forget(now clock.Milli) {
+	limit := max(forgetAfter, 2*c.memberFor())
 	c.list = slices.DeleteFunc(c.list, func(p *Peer) bool {
-		silent := now-p.heard > forgetAfter
+		silent := now-p.heard > limit
 		if silent {
 			delete(c.peers, p.Addr)
 		}
--- a/internal/coordination/fresh/fresh_test.go
+++ b/internal/coordination/fresh/fresh_test.go
@@ -404,6 +404,47 @@
 	}
 }
 
+// Load: a calm crowd, then a third of it ends at once. A summary goes to four and names
+// a few, so at hundreds of daemons each is heard of seldom; all must count the same
+// members all the same, as a cold target's rate is shared by them.
+func TestMembersAreCountedAtAnySize(t *testing.T) {
+	for _, n := range []int{7, 12, 60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := newWorld(n)
+			w.run(20 * clock.Second)
+			for _, d := range w.daemons {
+				require.GreaterOrEqual(t, d.crowd.Members(w.now), (n-1)*97/100, "daemon %d", d.n)
+			}
+			require.LessOrEqual(t, w.admitters(1), 1+n/50)
+			for _, d := range w.daemons[:n/3] {
+				d.dead = true
+			}
+			w.run(clock.Second + max(2*suspectAfter, w.daemons[n-1].crowd.memberFor()))
+			for _, d := range w.daemons[n/3:] {
+				require.LessOrEqual(t, d.crowd.Members(w.now), n-n/3+n/50, "daemon %d", d.n)
+			}
+			require.LessOrEqual(t, w.admitters(1), 1+n/50)
+		})
+	}
+}
+
+// admitters returns how many of 100 targets have more than most admitters, or none.
+func (w *world) admitters(most int) int {
+	wrong := 0
+	for code := range fleet.Code(100) {
+		n := 0
+		for _, d := range w.daemons {
+			if !d.dead && d.crowd.Admits(w.now, 1+code<<20) {
+				n++
+			}
+		}
+		if n == 0 || n > most {
+			wrong++
+		}
+	}
+	return wrong
+}
+
 // Load: two data centres can't reach each other while the third reaches both
 // (bridge_cut): "alive" is not transitive. Ages stay young, hardly a daemon takes itself
 // for cut off, a target has two admitters at most, and calls hardly grow.
--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -51,7 +51,7 @@
 	b := &Belief{
 		ID: d.cfg.ID, DataCentre: d.cfg.DataCentre, Ready: d.isReady(), Leaving: d.leaving,
 		Deaf: d.core.Deaf(now), CutOff: d.crowd.CutOff(now), Withdrawn: d.withdrawn(),
-		Peers: d.crowd.Alive(now), Rank: d.crowd.Rank(now), Targets: d.core.Beliefs(now),
+		Peers: d.crowd.Members(now), Rank: d.crowd.Rank(now), Targets: d.core.Beliefs(now),
 	}
 	if t := d.core.Book().Table(); t != nil {
 		b.ConfigVersion = t.Version
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -66,7 +66,7 @@
 	gauge("coltsfootdock_view_age_seconds", func(now clock.Milli) float64 {
 		return float64(d.reader.Oldest(now)) / float64(clock.Second)
 	})
-	gauge("coltsfootdock_peers_alive", func(now clock.Milli) float64 { return float64(d.crowd.Alive(now)) })
+	gauge("coltsfootdock_peers_alive", func(now clock.Milli) float64 { return float64(d.crowd.Members(now)) })
 	gauge("coltsfootdock_flows", func(clock.Milli) float64 { return float64(d.core.Flows()) })
 	return m
 }
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -52,9 +52,9 @@
 		d.probes <- p // the core asks for no more than the ring holds
 	}
 	d.crowd.Forget(now)
-	alive := d.crowd.Alive(now)
-	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(now, code) }, alive+1)
-	d.reader.SetRank(d.crowd.Rank(now), alive == 0)
+	members := d.crowd.Members(now)
+	d.core.SetAdmitter(func(code fleet.Code) bool { return d.crowd.Admits(now, code) }, members+1)
+	d.reader.SetRank(d.crowd.Rank(now), d.crowd.Alive(now) == 0)
 	alarm, news := d.core.Alarm(), d.reader.News()
 	d.news = d.news || alarm || news || d.crowd.Greets()
 	d.tell(now)
@@ -65,7 +65,7 @@
 	if r := d.isReady(); r != d.wasReady {
 		d.wasReady = r
 		d.log.event("ready: %t; known=%t leaving=%t deaf=%t cut=%t peers=%d",
-			r, d.core.Known(), d.leaving, d.core.Deaf(now), d.withdrawn(), alive)
+			r, d.core.Known(), d.leaving, d.core.Deaf(now), d.withdrawn(), members)
 	}
 }
 
