--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -101,6 +101,10 @@
 	if t.answers.wait > 0 {
 		add("avoided; tried again in %d ms by its admitter, this daemon: %t", max(0, t.answers.until-now), c.admitter(t.Code))
 	}
+	if x := t.pace.slowness(); x > 1 {
+		own := t.pace.seen()
+		add("takes %.1f times as long as usual; %d requests here and %d at peers took %d and %d ms in sum", x, own.n, t.pace.peers.n, own.took, t.pace.peers.took)
+	}
 	if t.probing.dead || t.toldDead(now) {
 		add("accepts no connection: proved here %t, by a peer %t", t.proved(), t.toldDead(now))
 	}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -149,15 +149,18 @@
 			return nil
 		}
 		// The flow was opened by another daemon.
+		c.spread = now
 		r.target, r.route, r.ack, r.next, r.seen = t, route, s.Ack, s.Seq, now
 		t.load.flows++
 		t.load.held++
 	}
-	wasBusy, wasOpening := r.asked != 0, r.opened != 0
+	asked, wasOpening := r.asked, r.opened != 0
+	wasBusy := asked != 0
 	sent := max(r.sent, r.opened)
 	answered, repeated := r.follow(now, s)
 	switch busy := r.asked != 0; {
 	case busy && !wasBusy:
+		r.ahead = t.load.busy + t.load.peerBusy
 		t.load.busy++
 		c.flows.asking = append(c.flows.asking, waiting{tuple: s.Tuple, since: r.asked})
 	case !busy && wasBusy:
@@ -170,6 +173,10 @@
 	if answered && wasOpening {
 		c.accepted(now)
 	}
+	// A request may have waited at its client until the answer before it came.
+	if answered && wasBusy && s.Len == 0 {
+		t.pace.window.add(t.alone(now-asked, r.ahead))
+	}
 	if repeated && !r.missed {
 		c.miss(now, r, sent)
 	}
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -32,6 +32,9 @@
 	first uint32
 	next  uint32
 	ack   uint32
+	// ahead is the number of requests that were at work or queued at the target when
+	// the oldest one without an answer was sent, as far as this daemon knew.
+	ahead int
 	// sent is when the client last sent new data.
 	sent clock.Milli
 	// progress is when the client last acknowledged something new.
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -35,10 +35,11 @@
 	loadsFor = 1500 * clock.Milli(1)
 )
 
-// score returns how loaded a target is, one meaning that all slots work.
+// score returns how long a new request is expected to take on a target, beyond the
+// usual time of one: the work for each slot, more if the target is slow.
 func (t *Target) score() float64 {
 	work := float64(t.load.busy+t.load.peerBusy) + flowShare*float64(t.load.flows+t.load.peerFlows)
-	return work / float64(max(1, t.Slots))
+	return t.pace.slowness()*(1+work/float64(max(1, t.Slots))) - 1
 }
 
 // peerLoad is what a peer told of one target, with times of this daemon.
@@ -50,6 +51,7 @@
 	sure   int
 	// since is when the first of the packets without an answer was sent.
 	since clock.Milli
+	pace  tally
 }
 
 // peerLoads is the last word of one peer, in the order of the codes.
@@ -73,6 +75,7 @@
 		if t.gone || missed == 0 && (misses || t.load.flows == 0 && now-t.answers.last > missFor) {
 			continue
 		}
+		pace := t.pace.seen()
 		list = append(list, fleet.Load{
 			Code:   t.Code,
 			Flows:  uint16(min(t.load.flows, 1<<16-1)),
@@ -81,6 +84,8 @@
 			Sure:   uint16(sure),
 			Since:  now - since,
 			Heard:  now - t.answers.last,
+			Paces:  uint16(min(pace.n, 1<<16-1)),
+			Took:   pace.took,
 		})
 	}
 	return list
@@ -109,7 +114,8 @@
 		if l.Heard < missFor {
 			c.peerHeard(l.Code, now-l.Heard)
 		}
-		p.put(peerLoad{code: l.Code, flows: int(l.Flows), busy: int(l.Busy), missed: int(l.Missed), sure: int(l.Sure), since: now - l.Since})
+		p.put(peerLoad{code: l.Code, flows: int(l.Flows), busy: int(l.Busy), missed: int(l.Missed), sure: int(l.Sure), since: now - l.Since,
+			pace: tally{n: int(l.Paces), took: l.Took}})
 	}
 	c.dirty = true
 }
@@ -136,7 +142,7 @@
 func (c *Core) sumLoads(now clock.Milli) {
 	c.dirty, c.missesTold, c.lastSum = false, false, now
 	for _, t := range c.list {
-		t.load.peerFlows, t.load.peerBusy = 0, 0
+		t.load.peerFlows, t.load.peerBusy, t.pace.peers = 0, 0, tally{}
 		t.answers.peers = word{last: t.answers.peers.last}
 	}
 	clear(c.tellers)
@@ -154,6 +160,8 @@
 			}
 			t.load.peerFlows += l.flows
 			t.load.peerBusy += l.busy
+			t.pace.peers.n += l.pace.n
+			t.pace.peers.took += l.pace.took
 			if t.answers.told(l) {
 				c.suspect(t)
 			}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -31,6 +31,7 @@
 	c.lastScan = now
 	c.scan(now)
 	c.sumLoads(now)
+	c.comparePaces(now)
 	c.book.Forget(now)
 	c.forgetTargets(now)
 }
@@ -55,7 +56,9 @@
 func (c *Core) scan(now clock.Milli) {
 	for _, t := range c.list {
 		t.load.flows, t.load.busy, t.load.held = 0, 0, 0
+		t.pace.waiting = tally{}
 	}
+	c.turnPaces(now)
 	for tuple, r := range c.flows.records {
 		silent := now - r.seen
 		switch {
@@ -75,6 +78,9 @@
 			continue
 		}
 		r.target.load.flows++
+		if r.asked != 0 && c.waits(now, r) {
+			r.target.pace.waiting.add(r.target.alone(now-r.asked, r.ahead))
+		}
 		if r.asked != 0 && now-r.asked < busyFor {
 			r.target.load.busy++
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -106,6 +106,7 @@
 	load    load
 	answers answers
 	probing probing
+	pace    pace
 	cold    budget
 }
 
@@ -154,10 +155,18 @@
 	// troubled is when a read of the store last failed anywhere.
 	troubled clock.Milli
 	lastScan clock.Milli
+	// paced is when the targets' paces were last compared, turned when their
+	// present windows began, spread when a flow that another daemon opened last
+	// came here, as the fabric had spread its flows anew.
+	paced    clock.Milli
+	turned   clock.Milli
+	spread   clock.Milli
 	lastTick clock.Milli
 	// stalled is when this daemon last went on after a stall.
 	stalled clock.Milli
 	resets  []Ended
+	// paceChanges are the targets that lately became slow, or usual again.
+	paceChanges []PaceChange
 	// suspects are the targets that left packets without an answer.
 	suspects []*Target
 	// questions are the targets to probe, probes counts the probes under way,
@@ -219,6 +228,9 @@
 		admitter:     func(fleet.Code) bool { return true },
 		troubled:     clock.Never,
 		lastScan:     clock.Never,
+		paced:        clock.Never,
+		turned:       clock.Never,
+		spread:       clock.Never,
 		lastTick:     clock.Never,
 		stalled:      clock.Never,
 		lastSum:      clock.Never,
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -48,6 +48,9 @@
 		d.log.sampled("flow: client=%s service=%s target=%s action=reset reason=%s while=silent",
 			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
 	}
+	for _, p := range d.core.Paces() {
+		d.log.sampled("pace: target=%s slow=%.1f requests=%d", p.ID, p.Slow, p.Requests)
+	}
 	for _, p := range d.core.Probes(now) {
 		d.probes <- p // the core asks for no more than the ring holds
 	}
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -182,6 +182,10 @@
 	Since  clock.Milli
 	// Heard is how long ago the target last answered a flow, in milliseconds.
 	Heard clock.Milli
+	// Paces counts the sender's requests of the last seconds, Took is the sum of
+	// the times that they took until their answers began, in milliseconds.
+	Paces uint16
+	Took  clock.Milli
 }
 
 // Suspect is a target that accepts no connection, as the sender or a peer of it
