--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -204,6 +204,7 @@
 	if t.DataCentre == c.home {
 		c.answeredHome = now
 	}
+	c.passed(t, now)
 	c.answered, c.missedAll = now, 0
 }
 
--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -111,6 +111,9 @@
 	if c.dark(now, t) {
 		add("dark: its flows are ended")
 	}
+	if c.path(t.DataCentre).broken {
+		add("targets of data centre %q answer nobody here", t.DataCentre)
+	}
 	if c.darkDCs[t.DataCentre] {
 		add("data centre %q answers nobody", t.DataCentre)
 	}
--- a/internal/coordination/steer/bench_test.go
+++ b/internal/coordination/steer/bench_test.go
@@ -55,13 +55,13 @@
 			i := 0
 			for b.Loop() {
 				i++
-				c.TakeLoads(now, schema.VMID(fmt.Sprint(i%50)), told, false)
+				c.TakeLoads(now, schema.VMID(fmt.Sprint(i%50)), "a", told, false)
 			}
 		})
 		b.Run(name("tick"), func(b *testing.B) {
 			for b.Loop() {
 				now += 25
-				c.TakeLoads(now, "vm", told[:1], false)
+				c.TakeLoads(now, "vm", "a", told[:1], false)
 				c.Tick(now)
 			}
 		})
--- a/internal/coordination/steer/dark_test.go
+++ b/internal/coordination/steer/dark_test.go
@@ -132,7 +132,7 @@
 	b.on(desk, "i-000002")
 	b.run(2 * clock.Second)
 	for range 20 {
-		b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: idle.target.Code, Flows: 9, Missed: 9, Sure: 9, Since: 600, Heard: 5000}}, false)
+		b.core.TakeLoads(b.now, "vm-2", "a", []fleet.Load{{Code: idle.target.Code, Flows: 9, Missed: 9, Sure: 9, Since: 600, Heard: 5000}}, false)
 		b.run(100)
 	}
 	require.Empty(t, b.core.Ended())
@@ -202,7 +202,7 @@
 		}
 	}
 	lives.answers()
-	b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: waiting[0].target.Code, Flows: 3, Heard: b.now - heard}}, false)
+	b.core.TakeLoads(b.now, "vm-2", "a", []fleet.Load{{Code: waiting[0].target.Code, Flows: 3, Heard: b.now - heard}}, false)
 	b.run(100)
 	require.Equal(t, 4, ended+b.endedOn()["i-000001"])
 }
@@ -230,7 +230,7 @@
 			continue
 		}
 		require.Zero(t, tried)
-		b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: dark.Code, Flows: 1, Heard: 10}}, false)
+		b.core.TakeLoads(b.now, "vm-2", "a", []fleet.Load{{Code: dark.Code, Flows: 1, Heard: 10}}, false)
 		b.run(25)
 		b.on(again, "i-000001")
 	}
@@ -349,7 +349,7 @@
 		tell := func() {
 			for n := range tellers {
 				id := schema.VMID(fmt.Sprintf("vm-%d", n+2))
-				b.core.TakeLoads(b.now, id, []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: b.now - start - 5*clock.Second, Heard: 9000}}, false)
+				b.core.TakeLoads(b.now, id, "a", []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: b.now - start - 5*clock.Second, Heard: 9000}}, false)
 			}
 			lives.request()
 			lives.answered()
@@ -372,9 +372,9 @@
 	for range 8 {
 		for n := range 4 {
 			id := schema.VMID(fmt.Sprintf("vm-%d", n+2))
-			b.core.TakeLoads(b.now, id, []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: 900, Heard: 9000}}, false)
+			b.core.TakeLoads(b.now, id, "a", []fleet.Load{{Code: idle.target.Code, Flows: 2, Missed: 1, Sure: 1, Since: 900, Heard: 9000}}, false)
 		}
-		b.core.TakeLoads(b.now, "vm-9", []fleet.Load{{Code: idle.target.Code, Flows: 2, Heard: 200}}, false)
+		b.core.TakeLoads(b.now, "vm-9", "a", []fleet.Load{{Code: idle.target.Code, Flows: 2, Heard: 200}}, false)
 		b.run(100)
 	}
 	require.Empty(t, b.core.Ended())
@@ -413,7 +413,7 @@
 	waits.repeat()
 	for n := range peers {
 		miss := target(4+n, "c")
-		b.core.TakeLoads(b.now, schema.VMID(fmt.Sprintf("vm-%d", n+2)), []fleet.Load{
+		b.core.TakeLoads(b.now, schema.VMID(fmt.Sprintf("vm-%d", n+2)), "a", []fleet.Load{
 			{Code: miss.Code(), Flows: 1, Missed: 1, Sure: 1, Since: 225, Heard: 9000},
 		}, false)
 	}
--- a/internal/coordination/steer/judge.go
+++ b/internal/coordination/steer/judge.go
@@ -67,9 +67,10 @@
 // answer nobody.
 func (c *Core) judge(now clock.Milli) {
 	clear(c.darkDCs)
+	defer c.judgePaths()
 	c.suspects = slices.DeleteFunc(c.suspects, func(t *Target) bool {
 		t.answers.expire(now)
-		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers > 0 || t.proved())
+		t.suspect = !t.gone && (t.answers.n > 0 || t.answers.peers.tellers+t.missedNear > 0 || t.proved())
 		return !t.suspect
 	})
 	if len(c.suspects) == 0 {
@@ -143,7 +144,7 @@
 
 // avoids reports whether new flows should not go to a target.
 func (c *Core) avoids(now clock.Milli, t *Target) bool {
-	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || t.proved() || t.toldDead(now) {
+	if c.darkDCs[t.DataCentre] && t.answers.wait == 0 || c.path(t.DataCentre).broken || t.proved() || t.toldDead(now) {
 		return true
 	}
 	return t.answers.silent() && t.answers.avoid(now, c.admitter(t.Code))
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -56,7 +56,9 @@
 
 // peerLoads is the last word of one peer, in the order of the codes.
 type peerLoads struct {
-	at    clock.Milli
+	at clock.Milli
+	// near is set if the peer is of this data centre.
+	near  bool
 	loads []peerLoad
 }
 
@@ -102,17 +104,17 @@
 
 // TakeLoads takes what a peer told: of all targets that it uses, or only of
 // those that it misses answers of.
-func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, list []fleet.Load, misses bool) {
+func (c *Core) TakeLoads(now clock.Milli, from schema.VMID, dc schema.DataCentreID, list []fleet.Load, misses bool) {
 	p := c.peers[from]
 	if p == nil || !misses {
-		p = &peerLoads{at: now, loads: make([]peerLoad, 0, len(list))}
+		p = &peerLoads{at: now, near: dc == c.home, loads: make([]peerLoad, 0, len(list))}
 		c.peers[from] = p
 	}
 	for i := range list {
 		l := &list[i]
 		c.missesTold = c.missesTold || l.Missed > 0
 		if l.Heard < missFor {
-			c.peerHeard(l.Code, now-l.Heard)
+			c.peerHeard(l.Code, now-l.Heard, p.near)
 		}
 		p.put(peerLoad{code: l.Code, flows: int(l.Flows), busy: int(l.Busy), missed: int(l.Missed), sure: int(l.Sure), since: now - l.Since,
 			pace: tally{n: int(l.Paces), took: l.Took}})
@@ -130,11 +132,14 @@
 	p.loads = slices.Insert(p.loads, at, l)
 }
 
-// peerHeard notes that a target answered a peer.
-func (c *Core) peerHeard(code fleet.Code, at clock.Milli) {
+// peerHeard notes that a target answered a peer, one of this data centre if near.
+func (c *Core) peerHeard(code fleet.Code, at clock.Milli, near bool) {
 	if t := c.codes[code]; t != nil {
 		t.answers.peers.last = max(t.answers.peers.last, at)
 		c.heard(t, at)
+		if near {
+			c.passed(t, at)
+		}
 	}
 }
 
@@ -144,6 +149,7 @@
 	for _, t := range c.list {
 		t.load.peerFlows, t.load.peerBusy, t.pace.peers = 0, 0, tally{}
 		t.answers.peers = word{last: t.answers.peers.last}
+		t.missedNear = 0
 	}
 	clear(c.tellers)
 	for id, p := range c.peers {
@@ -165,6 +171,10 @@
 			if t.answers.told(l) {
 				c.suspect(t)
 			}
+			if p.near && l.missed > 0 && l.since > c.path(t.DataCentre).heard {
+				t.missedNear += l.missed
+				c.suspect(t)
+			}
 			if l.sure > 0 && l.since > c.heardDCs[t.DataCentre] && !slices.Contains(missing, t.DataCentre) {
 				missing = append(missing, t.DataCentre)
 				c.tellers[t.DataCentre]++
--- a/internal/coordination/steer/pace_test.go
+++ b/internal/coordination/steer/pace_test.go
@@ -115,7 +115,7 @@
 	loads := s.beds[i].core.Loads(s.now, false)
 	for n, b := range s.beds {
 		if n != i {
-			b.core.TakeLoads(s.now, schema.VMID(rune('a'+i)), loads, false)
+			b.core.TakeLoads(s.now, schema.VMID(rune('a'+i)), "a", loads, false)
 		}
 	}
 }
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -169,7 +169,7 @@
 	b.run(325)
 	list := b.core.Probes(b.now)
 	require.Len(t, list, 1)
-	b.core.TakeLoads(b.now, "vm-2", []fleet.Load{{Code: asking.target.Code, Heard: 10}}, false)
+	b.core.TakeLoads(b.now, "vm-2", "a", []fleet.Load{{Code: asking.target.Code, Heard: 10}}, false)
 	b.core.Probed(b.now, list[0], Refused)
 	b.run(clock.Second)
 	require.Empty(t, b.core.Ended())
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -304,7 +304,7 @@
 		for n, x := range list {
 			told = append(told, fleet.Load{Code: x.Code(), Flows: uint16(20 + n), Heard: 100})
 		}
-		b.core.TakeLoads(b.now, "vm-9", told, false)
+		b.core.TakeLoads(b.now, "vm-9", "a", told, false)
 		b.run(100)
 		for range 10 {
 			got[b.open(again).target.ID]++
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -103,11 +103,13 @@
 	since   clock.Milli
 	// suspect is set while the target is among the core's suspects.
 	suspect bool
-	load    load
-	answers answers
-	probing probing
-	pace    pace
-	cold    budget
+	// missedNear is the number of misses that peers of this data centre tell.
+	missedNear int
+	load       load
+	answers    answers
+	probing    probing
+	pace       pace
+	cold       budget
 }
 
 // Route is a compiled route.
@@ -178,6 +180,10 @@
 	// a target of each was last heard by anyone.
 	darkDCs  map[schema.DataCentreID]bool
 	heardDCs map[schema.DataCentreID]clock.Milli
+	// paths are the ways to the targets of other data centres.
+	paths map[schema.DataCentreID]*path
+	// pathChanges are those that lately broke or were whole again.
+	pathChanges []PathChange
 	// tellers are the numbers of peers that surely miss answers of targets of
 	// each data centre.
 	tellers map[schema.DataCentreID]int
@@ -236,6 +242,7 @@
 		lastSum:      clock.Never,
 		darkDCs:      make(map[schema.DataCentreID]bool),
 		heardDCs:     make(map[schema.DataCentreID]clock.Milli),
+		paths:        make(map[schema.DataCentreID]*path),
 		tellers:      make(map[schema.DataCentreID]int),
 		answered:     clock.Never,
 		reached:      clock.Never,
--- a/internal/entry/talk.go
+++ b/internal/entry/talk.go
@@ -163,7 +163,7 @@
 	if s.Cut >= 0 && s.DataCentre == d.cfg.DataCentre {
 		d.crowd.TakeCut(now - s.Cut)
 	}
-	d.core.TakeLoads(now, s.ID, s.Loads, s.Misses)
+	d.core.TakeLoads(now, s.ID, s.DataCentre, s.Loads, s.Misses)
 	d.core.TakeSuspects(now, s.Suspects)
 	behind := false
 	for t := range s.Known {
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -51,6 +51,9 @@
 	for _, p := range d.core.Paces() {
 		d.log.sampled("pace: target=%s slow=%.1f requests=%d", p.ID, p.Slow, p.Requests)
 	}
+	for _, p := range d.core.Paths() {
+		d.log.sampled("path: dc=%s broken=%t misses=%d targets=%d", p.DataCentre, p.Broken, p.Misses, p.Targets)
+	}
 	for _, p := range d.core.Probes(now) {
 		d.probes <- p // the core asks for no more than the ring holds
 	}
