--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -24,9 +24,17 @@
 	return true
 }
 
+const (
+	// spillFrom is the expected wait, in usual times of a request, from which the
+	// freest target of a pool counts as full, so that the route's other pools are
+	// looked at; spillGain is by how much a target of those must be freer.
+	spillFrom = 2.0
+	spillGain = 1.0
+)
+
 // choose returns the target for a new flow, other than not, or the reason why
 // there is none. The route's weights choose the pool by the flow's hash, so
-// that all daemons choose the same one.
+// that all daemons choose the same one, unless its targets are full.
 func (c *Core) choose(now clock.Milli, route *Route, s *flow.Segment, not *Target) (*Target, Reason) {
 	if route.total == 0 {
 		return nil, NoTarget
@@ -41,16 +49,26 @@
 		at -= share.Weight
 	}
 	why := NoTarget
+	var chosen *Target
 	for i := range route.pools {
 		t, r := c.chooseIn(now, route.pools[(first+i)%len(route.pools)], not)
-		if t != nil {
-			return t, Opened
-		}
-		if r == ColdBudget {
+		switch {
+		case t != nil && (chosen == nil || t.score()+spillGain <= chosen.score()):
+			chosen = t
+		case t == nil && r == ColdBudget:
 			why = r
 		}
+		if chosen != nil && chosen.score() < spillFrom {
+			break
+		}
+	}
+	if chosen == nil {
+		return nil, why
+	}
+	if p := c.pools[chosen.Pool]; c.coldLeft(now, chosen) > 0 && p.ColdRate > 0 {
+		chosen.cold.take()
 	}
-	return nil, why
+	return chosen, Opened
 }
 
 // best is the least loaded target met so far.
@@ -95,9 +113,6 @@
 	if chosen == nil {
 		return nil, s.why
 	}
-	if c.coldLeft(now, chosen) > 0 && p.ColdRate > 0 {
-		chosen.cold.take()
-	}
 	return chosen, Opened
 }
 
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -317,3 +317,39 @@
 	require.Less(t, most, 40, "of 200 flows, 5 a target on average")
 	require.Greater(t, len(got), 15)
 }
+
+// Load: after an outage, the targets of the smaller pool of a weighted route are full
+// and refuse what they can't queue, while those of the larger pool are free. Found by
+// inc-d705 of lin-crest-large: 253 requests were refused by all their retries.
+func TestFullPoolOfAWeightedRouteSpills(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		small, large uint16
+		spills       bool
+	}{
+		{"both free", 0, 0, false},
+		{"busy, not full", 5, 0, false},
+		{"full, the other free", 12, 0, true},
+		{"both full", 12, 12, false},
+	} {
+		other := target(2, "a")
+		other.Pool = "sheets"
+		b := newBed(t, target(1, "a"), other)
+		tab := table()
+		tab.Rev = 2000
+		tab.Routes[1].Pools = []fleet.Share{{Pool: "desk", Weight: 1}, {Pool: "sheets", Weight: 1}}
+		tab.Pools = append(tab.Pools, fleet.Pool{Name: "sheets"})
+		b.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: 2000, Table: tab})
+		b.core.TakeLoads(b.now, "vm-2", "a", []fleet.Load{
+			{Code: b.core.starts["i-000002"].Code, Flows: 1, Busy: c.small, Heard: 10},
+			{Code: b.core.starts["i-000001"].Code, Flows: 1, Busy: c.large, Heard: 10},
+		}, false)
+		b.run(250)
+		got := b.opensOn(40)["i-000002"]
+		if c.spills {
+			require.Less(t, got, 4, c.name)
+		} else {
+			require.Greater(t, got, 8, c.name)
+		}
+	}
+}
