--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,13 +73,16 @@
 	// toldCut is set while that is known from peers.
 	toldCut bool
 	// lastTell is when loads were last told, lastNews when anything was.
-	lastTell   clock.Milli
-	lastNews   clock.Milli
-	news       bool
-	troubled   clock.Milli
-	held       []heldPacket
-	leaving    bool
+	lastTell clock.Milli
+	lastNews clock.Milli
+	news     bool
+	troubled clock.Milli
+	held     []heldPacket
+	leaving  bool
+	// leftAt is when a graceful stop began, lastLook when it was last asked whether
+	// packets still come.
 	leftAt     clock.Milli
+	lastLook   clock.Milli
 	lastPacket clock.Milli
 	wasReady   bool
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -76,14 +77,28 @@
 	t.Cleanup(s.Close)
 	span := 3 * clock.Second
 	b.cfg = setup.Entry{
-		ID: "vm-1", DataCentre: "a", Data: free(t), Ready: free(t), Peer: free(t),
+		ID: "vm-1", DataCentre: "a",
 		Store: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
 		Bounds: setup.Bounds{
 			Apply: span, Drain: span, Out: span, Grace: 2 * span, FlowLife: clock.Minute,
 		},
 	}
+	var d *Daemon
+	err := error(syscall.EADDRINUSE)
+	for errors.Is(err, syscall.EADDRINUSE) { // another process may take a free port first
+		b.cfg.Data, b.cfg.Ready, b.cfg.Peer = free(t), free(t), free(t)
+		d, err = b.open()
+	}
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = d.Close() })
+	b.daemon = d
+	return b
+}
+
+// open makes a daemon with the bed's settings.
+func (b *bed) open() (*Daemon, error) {
 	cfg := b.cfg
-	d, err := New(&cfg, Wire{
+	return New(&cfg, Wire{
 		Packets: edge.Wire{
 			Prefix: platform.PrefixSize, MaxPacket: platform.MaxPacket,
 			Decode: platform.Decode, Address: platform.Address, Reset: platform.Reset, Client: platform.ClientAddress,
@@ -94,10 +109,6 @@
 			return &cfg, b.load
 		},
 	}, NewLogger(b.log))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = d.Close() })
-	b.daemon = d
-	return b
 }
 
 func (b *bed) deploy() {
@@ -412,3 +423,22 @@
 	require.Len(t, n.Updates[0].Gone, 1)
 	require.Equal(t, uint64(3), n.Updates[0].Gone[0].Last.Num)
 }
+
+// Load: a daemon that stops does not run for a while. Packets that came meanwhile
+// wait unread, so that the silence says nothing.
+func TestStopAfterAPauseLooksForPackets(t *testing.T) {
+	b := newBed(t)
+	d := b.daemon
+	d.leaving, d.leftAt = true, d.clock.Now()
+	d.lastLook, d.lastPacket = d.leftAt, d.leftAt
+	require.False(t, d.mayStop())
+	d.clock.Skip(2 * clock.Second)
+	require.False(t, d.mayStop(), "did not run")
+	for range 5 {
+		d.clock.Skip(quietFor / 4)
+		if d.mayStop() {
+			return
+		}
+	}
+	t.Fatal("does not stop although no packet came")
+}
--- a/internal/entry/time.go
+++ b/internal/entry/time.go
@@ -16,6 +16,9 @@
 	leftFor = 1300 * clock.Milli(1)
 	// quietFor is the silence after which no more packets are expected.
 	quietFor = 400 * clock.Milli(1)
+	// lateLook is the time between two looks at whether packets still come that
+	// means that the process did not run in between.
+	lateLook = 200 * clock.Milli(1)
 	// stopMargin is what is left of the grace period at the latest end.
 	stopMargin = 700 * clock.Milli(1)
 	// settingsEvery is the time between two looks at the settings file.
@@ -104,6 +107,7 @@
 	d.mu.Lock()
 	d.leaving, d.news = true, true
 	d.leftAt = d.clock.Now()
+	d.lastLook = d.leftAt
 	d.log.event("stop: no longer ready, goes on for %dms at most", d.cfg.Bounds.Grace-stopMargin)
 	d.mu.Unlock()
 	t := time.NewTicker(tickEvery)
@@ -123,6 +127,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	if now-d.lastLook > lateLook {
+		d.lastPacket = now // others may have waited unread
+	}
+	d.lastLook = now
 	since := now - d.leftAt
 	if since > d.cfg.Bounds.Grace-stopMargin {
 		return true
--- a/internal/transport/sock/sock.go
+++ b/internal/transport/sock/sock.go
@@ -6,9 +6,14 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"time"
 )
 
+// lastReads is how long a reader that ends still takes packets that had arrived.
+const lastReads = 20 * time.Millisecond
+
 // UDP is a UDP socket with one reader.
 type UDP struct {
 	*net.UDPConn
@@ -39,16 +44,26 @@
 }
 
 // Serve calls one, which reads and handles a packet, until ctx ends or the
-// socket is closed. Other errors pass, such as an ICMP answer to an earlier
-// packet.
+// socket is closed. Once ctx ends it handles the packets that had arrived, for
+// 20 ms at most, and closes the socket. Other errors pass, such as an ICMP answer
+// to an earlier packet.
 func (u *UDP) Serve(ctx context.Context, one func() error) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = u.UDPConn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = u.SetReadDeadline(time.Now()) })
 	defer stop()
+	last := false
 	for {
-		if err := one(); errors.Is(err, net.ErrClosed) {
+		err := one()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return context.Cause(ctx)
+		case errors.Is(err, os.ErrDeadlineExceeded) && last:
+			_ = u.UDPConn.Close()
 			return context.Cause(ctx)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			last = true
+			_ = u.SetReadDeadline(time.Now().Add(lastReads))
 		}
 	}
 }
