--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -15,6 +15,9 @@
 // requestSize is the size of a request in bytes; its first eight are its id.
 const requestSize = 64
 
+// resetWindow is how far from what the client expects a reset of an open flow may be.
+const resetWindow = 76800
+
 // client is one client host with many flows.
 type client struct {
 	sys   *System
@@ -78,30 +81,45 @@
 	}
 }
 
-// run keeps a flow open, and opens another when it ends, until stop closes.
+// run keeps a flow open, and opens another when it ends, until stop closes. While
+// the fabric is unruly, the next flow has the addresses and ports of the last one.
 func (c *client) run(stop <-chan struct{}) {
+	var last *clientFlow
 	for {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		c.session(stop)
-		c.sys.sleep(20, 100)
+		if c.sys.unruly.Load() {
+			c.sys.sleep(1, 5)
+		} else {
+			last = nil
+			c.sys.sleep(20, 100)
+		}
+		last = c.session(last, stop)
 	}
 }
 
-// session opens a flow and sends requests on it.
-func (c *client) session(stop <-chan struct{}) {
+// newFlow returns a flow on a new port, or again on those of the last one.
+func (c *client) newFlow(last *clientFlow) *clientFlow {
 	c.mu.Lock()
-	c.port++
-	r := c.sys.someRoute()
-	f := &clientFlow{
-		system: c.sys, client: c, route: r, in: make(chan platform.Answer, 64), seq: uint32(c.sys.rand()),
-		tuple: flow.Tuple{Client: c.addr.As4(), ClientPort: c.port, Address: r.addr.Addr().As4(), Port: r.addr.Port()},
+	defer c.mu.Unlock()
+	f := &clientFlow{system: c.sys, client: c, in: make(chan platform.Answer, 64), seq: uint32(c.sys.rand())}
+	if last != nil {
+		f.route, f.tuple = last.route, last.tuple
+	} else {
+		c.port++
+		f.route = c.sys.someRoute()
+		f.tuple = flow.Tuple{Client: c.addr.As4(), ClientPort: c.port, Address: f.route.addr.Addr().As4(), Port: f.route.addr.Port()}
 	}
 	c.flows[f.tuple] = f
-	c.mu.Unlock()
+	return f
+}
+
+// session opens a flow, sends requests on it and returns it once it ended.
+func (c *client) session(last *clientFlow, stop <-chan struct{}) *clientFlow {
+	f := c.newFlow(last)
 	defer func() {
 		c.mu.Lock()
 		delete(c.flows, f.tuple)
@@ -110,7 +128,7 @@
 	c.sys.judge.count(&c.sys.judge.flows)
 	if !f.open() {
 		c.sys.judge.count(&c.sys.judge.refused)
-		return
+		return f
 	}
 	for range 5 + c.sys.rand()%40 {
 		select {
@@ -125,6 +143,7 @@
 		break
 	}
 	f.send(&flow.Segment{Close: true}, nil)
+	return f
 }
 
 // send hands a packet to the fabric.
@@ -173,7 +192,7 @@
 				if a.Segment.Reset {
 					return false
 				}
-				if a.Accept {
+				if a.Accept && a.Segment.Ack == f.seq+1 { // else it is of an earlier flow
 					f.seq++
 					f.ack, f.cookie = a.Segment.Seq+1, a.Segment.Cookie
 					f.send(&flow.Segment{}, nil)
@@ -216,6 +235,9 @@
 // take handles a packet while a request waits for its answer.
 func (f *clientFlow) take(a *platform.Answer, id uint64) (done, ok bool) {
 	if a.Segment.Reset {
+		if off := int32(a.Segment.Seq - f.ack); off > resetWindow || off < -resetWindow {
+			return false, false // of an earlier flow
+		}
 		if a.System {
 			f.system.judge.reset(f, time.Now())
 		}
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -148,7 +148,8 @@
 	version float64
 	ids     atomic.Uint64
 	down    atomic.Bool
-	// unruly is set while the fabric repeats, delays and reorders packets.
+	// unruly is set while the fabric repeats, delays and reorders packets, targets
+	// answer a second time late, and clients use ports again at once.
 	unruly   atomic.Bool
 	injected map[string]int
 	timers   sync.WaitGroup
@@ -385,6 +386,9 @@
 	}
 	cmd := exec.Command(s.opts.Daemon, "entry", "--config", path)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
+	if d.n%2 == 1 { // a small VM
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "GOMEMLIMIT=32MiB")
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -264,5 +265,10 @@
 func (t *target) answer(s *flow.Segment, accept bool, data []byte) {
 	var b [platform.MaxPacket]byte
 	to := platform.ClientAddress(&s.Tuple, packetPort)
-	_, _ = t.conn.WriteToUDPAddrPort(platform.Pack(b[:], s, accept, true, data), to)
+	packet := platform.Pack(b[:], s, accept, true, data)
+	_, _ = t.conn.WriteToUDPAddrPort(packet, to)
+	if t.sys.unruly.Load() && t.sys.rand()%5 == 0 {
+		packet = slices.Clone(packet)
+		t.sys.after(t.sys.upTo(2500), func() { _, _ = t.conn.WriteToUDPAddrPort(packet, to) })
+	}
 }
