--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -101,9 +101,9 @@
 	s := search{now: now, pool: p, not: not, why: NoTarget}
 	near := c.leastLoaded(&s, p.near)
 	chosen := near.target
-	if chosen == nil || near.score > farPenalty {
+	if chosen == nil || chosen.score() > farPenalty {
 		far := c.leastLoaded(&s, p.far)
-		if far.target != nil && (chosen == nil || far.score+farPenalty < near.score) {
+		if far.target != nil && (chosen == nil || far.target.score()+farPenalty < chosen.score()) {
 			chosen = far.target
 		}
 	}
@@ -149,7 +149,7 @@
 		if t == s.not || !c.takes(s.now, t) {
 			continue
 		}
-		score := t.score()
+		score := t.order()
 		if c.coldLeft(s.now, t) > 0 {
 			if s.pool.ColdRate > 0 && !t.cold.has(s.now, s.pool.ColdRate, c.share(t)) {
 				s.why = ColdBudget
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -29,6 +29,9 @@
 	// farPenalty is the load by which a target of another data centre must
 	// be freer than the best of this one.
 	farPenalty = 0.35
+	// peerWeight is what peers' work weighs against this daemon's own where targets
+	// are compared.
+	peerWeight = 0.1
 	// blur breaks ties, so that daemons don't all choose the same target.
 	blur = 0.04
 	// loadsFor is how long a peer's loads count.
@@ -37,9 +40,18 @@
 
 // score returns how long a new request is expected to take on a target, beyond the
 // usual time of one: the work for each slot, more if the target is slow.
-func (t *Target) score() float64 {
-	work := float64(t.load.busy+t.load.peerBusy) + flowShare*float64(t.load.flows+t.load.peerFlows)
-	return t.pace.slowness()*(1+work/float64(max(1, t.Slots))) - 1
+func (t *Target) score() float64 { return t.expected(1) }
+
+// order returns what the targets of a list are compared by. Peers' word counts little
+// there: it is older than most requests take, and daemons that all hear it would all
+// take the same targets until they hear of each other.
+func (t *Target) order() float64 { return t.expected(peerWeight) }
+
+// expected returns the score with the peers' part of the work at a weight.
+func (t *Target) expected(weight float64) float64 {
+	own := float64(t.load.busy) + flowShare*float64(t.load.flows)
+	peers := float64(t.load.peerBusy) + flowShare*float64(t.load.peerFlows)
+	return t.pace.slowness()*(1+(own+weight*peers)/float64(max(1, t.Slots))) - 1
 }
 
 // peerLoad is what a peer told of one target, with times of this daemon.
--- a/internal/coordination/steer/pace.go
+++ b/internal/coordination/steer/pace.go
@@ -21,6 +21,8 @@
 	// slowHalf is the time in which the belief in a target's slowness halves while
 	// requests show nothing.
 	slowHalf = clock.Second
+	// leastSlow is the slowness below which a fading belief ends.
+	leastSlow = 1.2
 	// waitsAt is the age from which a request without an answer counts as one that
 	// took that long.
 	waitsAt = 300 * clock.Milli(1)
@@ -97,8 +99,9 @@
 // doubtSlow lets a belief that nothing supports fade, so that the target is tried
 // again bit by bit.
 func (p *pace) doubtSlow(passed clock.Milli) {
-	if p.slow > 1 {
-		p.slow = 1 + (p.slow-1)*math.Exp2(-float64(passed)/float64(slowHalf))
+	p.slow = 1 + (p.slowness()-1)*math.Exp2(-float64(passed)/float64(slowHalf))
+	if p.slow < leastSlow {
+		p.slow = 1
 	}
 }
 
--- a/internal/coordination/steer/pace_test.go
+++ b/internal/coordination/steer/pace_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -52,18 +53,25 @@
 	random  *rand.Rand
 	beds    []*bed
 	targets map[schema.TargetID]*served
+	list    []*served
 	open    []*asking
-	asked   int
-	late    int
+	// fanOut is the number of daemons that each tells its loads, zero for all.
+	fanOut int
+	asked  int
+	late   int
+	// queued counts the requests that waited for a slot.
+	queued int
 }
 
-func newShop(t *testing.T, daemons, targets int) *shop {
+func newShop(t *testing.T, daemons, targets, slots int) *shop {
 	s := &shop{t: t, now: start, random: rand.New(rand.NewPCG(7, 7)), targets: make(map[schema.TargetID]*served)}
 	var list []fleet.Target
 	for i := range targets {
 		x := target(i+1, "a")
+		x.Slots = slots
 		list = append(list, x)
-		s.targets[x.ID] = &served{slots: x.Slots, slow: 1}
+		s.list = append(s.list, &served{slots: x.Slots, slow: 1})
+		s.targets[x.ID] = s.list[i]
 	}
 	for i := range daemons {
 		b := newBed(t, list...)
@@ -74,17 +82,11 @@
 }
 
 // some returns the first n targets.
-func (s *shop) some(n int) []*served {
-	var list []*served
-	for i := range n {
-		list = append(list, s.targets[target(i+1, "a").ID])
-	}
-	return list
-}
+func (s *shop) some(n int) []*served { return s.list[:n] }
 
 // run plays d of traffic at a rate of requests a second and forgets the counts first.
 func (s *shop) run(d clock.Milli, rate float64) {
-	s.asked, s.late = 0, 0
+	s.asked, s.late, s.queued = 0, 0, 0
 	for _, x := range s.targets {
 		x.got = 0
 	}
@@ -103,19 +105,23 @@
 		for due += rate * float64(trafficStep) / float64(clock.Second); due >= 1; due-- {
 			s.ask()
 		}
-		for _, x := range s.targets {
+		for _, x := range s.list {
 			s.work(x)
 		}
 		s.giveUp()
 	}
 }
 
-// tell has a daemon tell all others its loads.
+// tell has a daemon tell others its loads.
 func (s *shop) tell(i int) {
 	loads := s.beds[i].core.Loads(s.now, false)
-	for n, b := range s.beds {
+	fanOut := len(s.beds) - 1
+	if s.fanOut != 0 {
+		fanOut = s.fanOut
+	}
+	for _, n := range s.random.Perm(len(s.beds))[:min(fanOut+1, len(s.beds))] {
 		if n != i {
-			b.core.TakeLoads(s.now, schema.VMID(rune('a'+i)), "a", loads, false)
+			s.beds[n].core.TakeLoads(s.now, schema.VMID(fmt.Sprint(i)), "a", loads, false)
 		}
 	}
 }
@@ -146,6 +152,9 @@
 	for len(x.queue) > 0 && len(x.works) < x.slots {
 		a := x.queue[0]
 		x.queue = x.queue[1:]
+		if s.now > a.born {
+			s.queued++
+		}
 		a.ends = s.now + clock.Milli(float64(workTime)*x.slow*(0.5+s.random.Float64()))
 		x.works = append(x.works, a)
 	}
@@ -178,7 +187,7 @@
 // Load: unequal speed. Of 14 targets four take eight times as long for a while; their
 // queues never fill, so their work alone hardly keeps new flows away.
 func TestSlowTargetsGetFewFlows(t *testing.T) {
-	s := newShop(t, 6, 14)
+	s := newShop(t, 6, 14, 4)
 	const rate = 300
 	s.run(5*clock.Second, rate)
 	require.Zero(t, s.late, "of %d", s.asked)
@@ -202,7 +211,7 @@
 // Load: fails part of what it takes. Three of 14 targets accept all flows and never
 // answer half of the requests.
 func TestTargetsThatAnswerAPartGetFewFlows(t *testing.T) {
-	s := newShop(t, 6, 14)
+	s := newShop(t, 6, 14, 4)
 	const rate = 300
 	s.run(5*clock.Second, rate)
 	mute := s.some(3)
@@ -236,7 +245,7 @@
 
 // Load: the same slow target, as the log and an operator see it.
 func TestSlownessIsTold(t *testing.T) {
-	s := newShop(t, 2, 6)
+	s := newShop(t, 2, 6, 4)
 	s.some(1)[0].slow = 8
 	s.run(5*clock.Second, 200)
 	var told []PaceChange
@@ -253,3 +262,30 @@
 	x.pace.slow = 4
 	require.Contains(t, s.beds[0].core.why(s.now, x)[0], "takes 4.0 times as long as usual")
 }
+
+// Load: daemons tell each other loads that are older than a request takes. If these
+// weighed as much as a daemon's own, all would take the targets that were idle, and
+// queues would form that no daemon makes by itself. Small crowds tell all, large ones
+// three of the others.
+func TestPeersOldLoadsMakeNoQueues(t *testing.T) {
+	for _, c := range []struct {
+		daemons, targets, slots, fanOut int
+		rate                            float64
+		// queued is the most of a hundred requests that may wait for a slot.
+		queued int
+	}{
+		{6, 14, 4, 0, 300, 5},
+		{6, 14, 4, 0, 600, 20},
+		{6, 14, 4, 0, 800, 45},
+		{59, 120, 2, 3, 570, 4},
+		{59, 120, 2, 3, 1710, 25},
+	} {
+		s := newShop(t, c.daemons, c.targets, c.slots)
+		s.fanOut = c.fanOut
+		s.run(3*clock.Second, c.rate)
+		s.run(5*clock.Second, c.rate)
+		t.Logf("%d daemons, %v a second: %d of %d queued, %d late", c.daemons, c.rate, s.queued, s.asked, s.late)
+		require.Less(t, 100*s.queued, c.queued*s.asked, "%d daemons, %v a second", c.daemons, c.rate)
+		require.Zero(t, s.late)
+	}
+}
