--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -38,7 +38,10 @@
 		return Verdict{Action: Reset, Reason: NoRoute, Changed: s.Copy == 0}
 	}
 	r := c.flows.records[s.Tuple]
-	if r != nil && r.first == s.Seq && !r.closed {
+	if r != nil && r.first == s.Seq {
+		if r.closed {
+			return Verdict{Reason: CopyOfOpen, Route: route} // late: its flow has ended
+		}
 		return c.openAgain(now, s, route, r)
 	}
 	t, why := c.choose(now, route, s, nil)
--- a/internal/coordination/steer/pace.go
+++ b/internal/coordination/steer/pace.go
@@ -15,8 +15,10 @@
 	// leastPaces is the number of requests from which a target's pace is compared.
 	leastPaces = 4
 	// slowFrom is the multiple of its pool's usual pace from which a target counts
-	// as slow, maxSlow the most that is believed.
+	// as slow, if it is slower by slowBy milliseconds at least; maxSlow is the most
+	// that is believed.
 	slowFrom = 2.5
+	slowBy   = 25.0
 	maxSlow  = 8
 	// slowHalf is the time in which the belief in a target's slowness halves while
 	// requests show nothing.
@@ -88,12 +90,12 @@
 // slowness returns how many times as long as usual the target takes.
 func (p *pace) slowness() float64 { return max(1, p.slow) }
 
-// learn takes how the target's pace compares with the usual one.
-func (p *pace) learn(ratio float64) {
-	if ratio < slowFrom {
-		ratio = 1
+// learn takes the target's mean time and the usual one, in milliseconds.
+func (p *pace) learn(mean, usual float64) {
+	p.slow = 1
+	if mean >= slowFrom*usual && mean-usual >= slowBy {
+		p.slow = min(mean/usual, maxSlow)
 	}
-	p.slow = min(ratio, maxSlow)
 }
 
 // doubtSlow lets a belief that nothing supports fade, so that the target is tried
@@ -141,7 +143,7 @@
 		was := t.pace.slowness() >= slowFrom
 		m, ok := t.pace.mean()
 		if u := usual[t.Pool]; ok && u > 0 && len(means[t.Pool]) > 1 {
-			t.pace.learn(m / u)
+			t.pace.learn(m, u)
 		} else {
 			t.pace.doubtSlow(passed)
 		}
--- a/internal/coordination/steer/pace_test.go
+++ b/internal/coordination/steer/pace_test.go
@@ -289,3 +289,14 @@
 		require.Zero(t, s.late)
 	}
 }
+
+// Load: targets that answer within a millisecond or two, whose times are mostly noise.
+func TestShortTimesAreNotCompared(t *testing.T) {
+	for _, c := range []struct{ mean, usual, slow float64 }{
+		{4, 1, 1}, {20, 2, 1}, {30, 2, 8}, {55, 55, 1}, {120, 55, 1}, {220, 55, 4}, {900, 55, 8}, {150, 130, 1},
+	} {
+		var p pace
+		p.learn(c.mean, c.usual)
+		require.Equal(t, c.slow, p.slowness(), "%v ms, usually %v", c.mean, c.usual)
+	}
+}
--- a/internal/coordination/steer/reuse_test.go
+++ b/internal/coordination/steer/reuse_test.go
@@ -53,3 +53,21 @@
 	b.apply(fleet.Update{Topic: fleet.Outs, Since: 1000, Rev: 2000, Outs: []fleet.Out{{DataCentre: "b", Rev: 2000}}})
 	require.Equal(t, map[schema.TargetID]int{"i-000003": 20}, b.opensOn(20))
 }
+
+// Load: a copy of a flow's first packet arrives after the flow's end. A target that has
+// forgotten the flow would accept it again, and run a late copy of its request again.
+// Found by soak seed 1203, whose stand-in targets did so.
+func TestLateFirstPacketOfAnEndedFlowOpensNothing(t *testing.T) {
+	b := newBed(t, target(1, "a"))
+	c := b.open(desk)
+	first := flow.Segment{Tuple: c.tuple, Seq: c.seq, Open: true, Copy: 1}
+	c.accepted()
+	c.request()
+	c.answered()
+	c.send(flow.Segment{Close: true})
+	b.run(500)
+	v := b.core.Decide(b.now, &first, true)
+	require.Equal(t, Drop, v.Action)
+	next := &client{bed: b, tuple: c.tuple, seq: 900000, ack: 7000}
+	require.Equal(t, Deliver, next.send(flow.Segment{Open: true}).Action, "a new flow on the same ports")
+}
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -245,6 +245,8 @@
 			reply.Reset, reply.Seq = true, s.Ack
 			t.answer(&reply, false, nil)
 		}
+	case int32(s.Ack-f.seq) <= 0 || int32(s.Ack-f.out) > 0:
+		// It acknowledges what another flow, or another target, sent.
 	case s.Close || s.Reset:
 		delete(t.flows, s.Tuple)
 	case s.Len == requestSize && s.Seq == f.next:
