internal/coordination/steer, internal/entry: requests beyond a pool's capacity wait at the daemon

Cause: in a burst of 3 the targets' queues fill (240 ms each), all requests wait behind all others, and nearly everyone is a little late; nothing limited what a daemon sends, and priority and latency goal were used in no decision. Change: a limit of requests in flight for each daemon and pool (slots by slowness, times a depth that follows from latency goal and usual latency, times this daemon's share of the active flows). What exceeds it waits as packets of open flows, newest first while it can be in time, then what ends first; urgent routes first. An idle target never waits for others. New flows are rejected once what waits takes half of the route's timeout.

--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"coltsfootdock/internal/clock"
@@ -165,3 +166,17 @@
 	slices.SortFunc(list, func(x, y FlowBelief) int { return cmp.Compare(x.Service, y.Service) })
 	return list
 }
+
+// PoolBeliefs returns the daemon's view of the pools' load, sorted by name.
+func (c *Core) PoolBeliefs() []PoolBelief {
+	list := make([]PoolBelief, 0, len(c.limiters))
+	for _, l := range c.limiters {
+		b := PoolBelief{Pool: l.pool, Limit: l.limit, Capacity: l.capacity, Depth: l.depth, Share: l.share, InFlight: l.inFlight, Waiting: len(l.waiting), Usual: l.usual}
+		if math.IsInf(b.Limit, 1) {
+			b.Limit = 0
+		}
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(x, y PoolBelief) int { return cmp.Compare(x.Pool, y.Pool) })
+	return list
+}
--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -48,6 +48,7 @@
 	}
 	c.byID[id] = t
 	t.Target = e.Target
+	t.limiter = c.limiter(t.Pool)
 	if e.Gone {
 		c.markGone(e.GoneAt, t)
 	} else {
@@ -66,7 +67,7 @@
 			return t
 		}
 	}
-	t := &Target{Code: code}
+	t := &Target{Code: code, limiter: c.limiter(first.Pool)}
 	c.colliding[code] = append(c.colliding[code], t)
 	return t
 }
@@ -109,6 +110,9 @@
 	old := c.routes
 	c.routes = make(map[serviceKey]*Route, len(c.table.Routes))
 	c.pools = make(map[schema.Name]*pool, len(c.table.Pools))
+	for _, l := range c.limiters {
+		l.goal = 0
+	}
 	for _, p := range c.table.Pools {
 		c.pools[p.Name] = &pool{Pool: p}
 	}
@@ -122,6 +126,7 @@
 			compiled.pools = append(compiled.pools, c.pool(s.Pool))
 			compiled.total += s.Weight
 		}
+		c.applyGoal(compiled)
 		c.routes[k] = compiled
 		delete(c.removedRoutes, k)
 	}
@@ -137,6 +142,15 @@
 	}
 }
 
+// applyGoal lowers the latency goals of a route's pools to that of the route.
+func (c *Core) applyGoal(r *Route) {
+	for _, p := range r.pools {
+		if l := c.limiter(p.Name); r.LatencyGoal > 0 && (l.goal == 0 || r.LatencyGoal < l.goal) {
+			l.goal = r.LatencyGoal
+		}
+	}
+}
+
 // pool returns the pool with the given name, and creates it if it has no entry.
 func (c *Core) pool(n schema.Name) *pool {
 	p := c.pools[n]
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -48,6 +48,9 @@
 	if t == nil {
 		return c.refuse(route, reason, fresh)
 	}
+	if s.Retransmissions == 0 && fresh && c.rejects(route, t) {
+		return Verdict{Action: Reset, Reason: Overloaded, Route: route, Changed: true}
+	}
 	return c.openTo(now, s, route, t, Opened)
 }
 
@@ -73,9 +76,9 @@
 	t.answers.beginTrial(now)
 	if r := c.flows.add(s.Tuple); r != nil {
 		r.target, r.route = t, route
-		r.lastPacket, r.openedAt, r.firstSeq = now, now, s.Seq
+		r.lastPacket, r.openedAt, r.arrivedAt, r.firstSeq = now, now, now, s.Seq
 		c.flows.opening = append(c.flows.opening, pendingFlow{tuple: s.Tuple, since: now})
-		t.load.flows++
+		r.activate()
 		t.load.remembered++
 	}
 	return Verdict{Action: Deliver, Reason: reason, Target: t, Route: route, Changed: true}
@@ -113,6 +116,9 @@
 		c.flows.remove(s.Tuple)
 		return Verdict{Action: Reset, Reason: TargetUnresponsive, Target: t, Route: route, Changed: true}
 	}
+	if r != nil && r.wait != nil && s.Len > 0 {
+		return Verdict{Action: Queue, Reason: Waiting, Target: t, Route: route}
+	}
 	return Verdict{Action: Deliver, Reason: ByCookie, Target: t, Route: route}
 }
 
@@ -156,20 +162,26 @@
 		// Another daemon opened the flow.
 		c.lastMovedFlow = now
 		r.target, r.route, r.ack, r.nextSeq, r.lastPacket = t, route, s.Ack, s.Seq, now
-		t.load.flows++
+		r.activate()
 		t.load.remembered++
 	}
+	if r.wait != nil {
+		c.trackWaiting(now, s, r)
+		return r
+	}
 	requestedAt, wasOpening := r.requestedAt, r.openedAt != 0
 	wasBusy := requestedAt != 0
 	lastSend := max(r.lastData, r.openedAt)
 	answered, retransmitted := r.update(now, s)
 	switch busy := r.requestedAt != 0; {
 	case busy && !wasBusy:
-		r.queuedAhead = t.load.busy + t.load.peerBusy
-		t.load.busy++
-		c.flows.awaitingAnswer = append(c.flows.awaitingAnswer, pendingFlow{tuple: s.Tuple, since: r.requestedAt})
+		c.beginRequest(now, s, r)
 	case !busy && wasBusy:
 		t.load.busy = max(0, t.load.busy-1)
+		r.end()
+	}
+	if r.closed {
+		r.deactivate()
 	}
 	if answered {
 		c.recordAnswer(now, t)
@@ -190,6 +202,23 @@
 	return r
 }
 
+// beginRequest handles the first packet of a request: it is sent, or waits.
+func (c *Core) beginRequest(now clock.Milli, s *flow.Segment, r *flowRecord) {
+	arrived := now
+	if r.arrivedAt != 0 {
+		arrived, r.arrivedAt = r.arrivedAt, 0
+	}
+	if c.mustWait(r) {
+		c.wait(now, s.Tuple, r, arrived)
+		return
+	}
+	t := r.target
+	r.queuedAhead = t.load.busy + t.load.peerBusy
+	t.load.busy++
+	t.limiter.begin(now, s.Tuple, r)
+	c.flows.awaitingAnswer = append(c.flows.awaitingAnswer, pendingFlow{tuple: s.Tuple, since: r.requestedAt})
+}
+
 // mayReset reports whether a flow may be reset when its target is unresponsive: no
 // request is waiting for an answer, or the route's requests may be repeated.
 func (c *Core) mayReset(r *flowRecord) bool {
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -50,6 +50,36 @@
 	missCounted   bool
 	missConfirmed bool
 	closed        bool
+	// inFlight is set while a request counts against the pool's limit, wait while
+	// one waits for room.
+	inFlight bool
+	wait     *waitingRequest
+	// arrivedAt is when the flow's first packet came, zero after its first
+	// request.
+	arrivedAt clock.Milli
+	// active is set while the flow counts in its target's load.
+	active bool
+}
+
+// activate counts the flow in its target's load.
+func (r *flowRecord) activate() {
+	r.active = true
+	r.target.load.flows++
+}
+
+// deactivate ends that.
+func (r *flowRecord) deactivate() {
+	if r.active {
+		r.active = false
+		r.target.load.flows--
+	}
+}
+
+// release removes the flow from all counts.
+func (r *flowRecord) release() {
+	r.endWait()
+	r.end()
+	r.deactivate()
 }
 
 // flowTable is a bounded set of flow records.
@@ -91,6 +121,7 @@
 // add returns a new record for a flow, or nil if the table is full.
 func (f *flowTable) add(t flow.Tuple) *flowRecord {
 	if r := f.records[t]; r != nil {
+		r.release()
 		*r = flowRecord{}
 		return r
 	}
@@ -108,6 +139,7 @@
 
 func (f *flowTable) remove(t flow.Tuple) {
 	if r := f.records[t]; r != nil {
+		r.release()
 		delete(f.records, t)
 		f.free = append(f.free, r)
 	}
--- /dev/null
+++ b/internal/coordination/steer/limit.go
@@ -0,0 +1,182 @@
+package steer
+
+import (
+	"math"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// usualDepth is the number of requests for each slot of a pool if the latency
+	// goal or the usual latency is unknown: one running, one queued.
+	usualDepth = 2.0
+	// minDepth keeps the slots busy between an answer and the next request.
+	minDepth = 1.25
+	// maxDepth bounds the queues of targets whose latency is far below the goal.
+	maxDepth = 4.0
+	// lostFactor is the multiple of the expected latency after which a request
+	// without an answer no longer counts as in flight: it may have been answered
+	// through another daemon.
+	lostFactor = 4
+	// minLost is the least time after which that happens.
+	minLost = 100 * clock.Milli(1)
+	// stalledFactor is the multiple of a target's part of the limit from which it
+	// counts as stalled.
+	stalledFactor = 2
+)
+
+// limiter limits the requests that this daemon has in flight at one pool to its
+// share of what the pool's targets can process soon. What exceeds the limit waits
+// here, where the order can still be changed, and not in the targets' queues.
+//
+// The limit is the number of the targets' slots, divided by their slowness, times
+// a depth that follows from the latency goal, times this daemon's share of all
+// active flows on the pool. Each answer makes room for one more request. So daemons
+// need no agreement: the limits of all add up to the pool's capacity, as far as
+// their knowledge of each other's flows is right, and each limit is exact.
+type limiter struct {
+	pool schema.Name
+	// limit is the number of requests that may be in flight, at least 1.
+	limit float64
+	// capacity is the number of requests that the pool's targets process at the
+	// same time, in units of a target that is not slow.
+	capacity float64
+	// share is this daemon's part of the capacity.
+	share float64
+	// depth is the number of requests in flight for each unit of capacity.
+	depth float64
+	// inFlight is the number of this daemon's requests in flight, without the excess
+	// of stalled targets. sent lists the requests, oldest first.
+	inFlight int
+	sent     []pendingFlow
+	// usual is the usual time to the first byte without queues, in milliseconds,
+	// zero if unknown.
+	usual float64
+	// goal is the lowest latency goal of the pool's routes, zero if none is known.
+	goal    clock.Milli
+	waiting []*waitingRequest
+}
+
+func newLimiter(pool schema.Name) *limiter {
+	return &limiter{pool: pool, limit: math.Inf(1), depth: usualDepth}
+}
+
+// limiter returns the limiter of a pool, which outlives changes of the
+// configuration.
+func (c *Core) limiter(pool schema.Name) *limiter {
+	l := c.limiters[pool]
+	if l == nil {
+		l = newLimiter(pool)
+		c.limiters[pool] = l
+	}
+	return l
+}
+
+// hasRoom reports whether one more request may be sent to a target of the pool.
+func (l *limiter) hasRoom() bool { return float64(l.inFlight) < l.limit }
+
+// begin counts a request that is sent to a flow's target. What a stalled target has
+// in flight beyond a multiple of its part of the limit doesn't count, so that it
+// leaves the others' part free.
+func (l *limiter) begin(now clock.Milli, tuple flow.Tuple, r *flowRecord) {
+	t := r.target
+	r.inFlight = true
+	t.load.inFlight++
+	if t.load.inFlight <= stalledFactor*t.load.limit {
+		l.inFlight++
+	}
+	l.sent = append(l.sent, pendingFlow{tuple: tuple, since: now})
+}
+
+// end counts a request as answered or lost.
+func (r *flowRecord) end() {
+	if !r.inFlight {
+		return
+	}
+	t := r.target
+	r.inFlight = false
+	if t.load.inFlight <= stalledFactor*t.load.limit {
+		t.limiter.inFlight--
+	}
+	t.load.inFlight--
+}
+
+// expected returns the time in milliseconds from sending a request to the first
+// byte of its answer, zero if unknown.
+func (l *limiter) expected() float64 { return l.usual * l.depth }
+
+// lostAfter returns the age at which a request no longer counts as in flight.
+func (l *limiter) lostAfter() clock.Milli {
+	if l.usual == 0 {
+		return busyWindow
+	}
+	return min(busyWindow, max(minLost, clock.Milli(lostFactor*l.expected())))
+}
+
+// expireLost ends the requests that are in flight for too long.
+func (c *Core) expireLost(now clock.Milli, l *limiter) {
+	c.flows.due(&l.sent, now, l.lostAfter(), func(w pendingFlow, r *flowRecord) {
+		if r.requestedAt == w.since {
+			r.end()
+		}
+	})
+}
+
+// updateLimits recomputes the limits of all pools and targets.
+func (c *Core) updateLimits(now clock.Milli) {
+	for _, l := range c.limiters {
+		l.capacity, l.inFlight = 0, 0
+	}
+	own, peers, busy := make(map[*limiter]int), make(map[*limiter]int), make(map[*limiter]int)
+	for _, t := range c.targets {
+		t.load.limit = 0
+		if !c.acceptsNew(now, t) || c.avoids(now, t) {
+			continue
+		}
+		l := t.limiter
+		l.capacity += t.capacity()
+		own[l] += t.load.flows
+		peers[l] += t.load.peerFlows
+		busy[l] += t.load.peerBusy
+	}
+	unheard := c.unheardFactor()
+	for _, l := range c.limiters {
+		l.update(float64(own[l]), unheard*float64(peers[l]), unheard*float64(busy[l]), c.members)
+	}
+	for _, t := range c.targets {
+		if l := t.limiter; c.acceptsNew(now, t) && !c.avoids(now, t) {
+			t.load.limit = max(1, int(math.Ceil(t.capacity()*l.depth*l.share)))
+			l.inFlight += min(t.load.inFlight, stalledFactor*t.load.limit)
+		}
+	}
+}
+
+// capacity returns the number of requests that a target processes at the same
+// time, in units of a target that is not slow.
+func (t *Target) capacity() float64 { return float64(max(1, t.Slots)) / t.latency.slowness() }
+
+// unheardFactor returns the number of peers in relation to those whose loads are
+// known: in a large fleet a daemon hears only some of them.
+func (c *Core) unheardFactor() float64 {
+	if len(c.peers) == 0 {
+		return 1
+	}
+	return max(1, float64(c.members-1)/float64(len(c.peers)))
+}
+
+// update computes the limit from the active flows of this daemon and of its peers,
+// and from the peers' requests in flight. Slots that the peers leave free may be
+// used whatever the share.
+func (l *limiter) update(own, peers, peerBusy float64, members int) {
+	l.share = (own + 1) / (own + peers + float64(max(1, members)))
+	l.depth = usualDepth
+	if l.goal > 0 && l.usual > 0 {
+		l.depth = min(maxDepth, max(minDepth, float64(l.goal)/(2*l.usual)))
+	}
+	l.limit = max(1, l.capacity*l.depth*l.share, l.capacity-peerBusy)
+	if l.capacity == 0 {
+		l.limit = math.Inf(1) // no target gets new flows: nothing is gained by waiting
+	}
+}
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -19,6 +19,12 @@
 	peerBusy  int
 	// remembered counts this daemon's recorded open flows, idle ones too.
 	remembered int
+	// waiting counts the requests that wait at this daemon, inFlight those that it
+	// has sent and that are not answered or lost. limit is the target's part of the
+	// pool's limit, zero if the target gets no new flows.
+	waiting  int
+	inFlight int
+	limit    int
 }
 
 const (
@@ -51,7 +57,7 @@
 
 // expected returns the score, with the peers' load at the given weight.
 func (t *Target) expected(weight float64) float64 {
-	own := float64(t.load.busy) + flowWeight*float64(t.load.flows)
+	own := float64(t.load.busy+t.load.waiting) + flowWeight*float64(t.load.flows)
 	peers := float64(t.load.peerBusy) + flowWeight*float64(t.load.peerFlows)
 	return t.latency.slowness()*(1+(own+weight*peers)/float64(max(1, t.Slots))) - 1
 }
--- /dev/null
+++ b/internal/coordination/steer/queue.go
@@ -0,0 +1,277 @@
+package steer
+
+import (
+	"slices"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// maxWaiting is the number of requests that may wait at this daemon. Beyond
+	// it, requests are sent on at once.
+	maxWaiting = 4096
+	// backlogPart is the part of a route's timeout that the requests which wait
+	// already may take until new flows are rejected.
+	backlogPart = 0.5
+)
+
+// waitingRequest is a request of an open flow that waits for room at its pool.
+type waitingRequest struct {
+	tuple  flow.Tuple
+	record *flowRecord
+	// arrived is when the flow was opened for this request, or when the request
+	// came. goal and deadline are when its answer is late and when its client
+	// gives up; zero if unknown.
+	arrived  clock.Milli
+	goal     clock.Milli
+	deadline clock.Milli
+	priority int
+}
+
+// ended reports whether the flow ended, or another one uses its record.
+func (w *waitingRequest) ended() bool { return w.record.wait != w }
+
+// Release is a flow whose waiting packets are to be forwarded to Target, or
+// discarded if Target is nil.
+type Release struct {
+	Tuple  flow.Tuple
+	Target *Target
+	Route  *Route
+	// Waited is the time from the request's arrival.
+	Waited clock.Milli
+	Reason Reason
+}
+
+// mustWait reports whether a request on a recorded flow has to wait.
+func (c *Core) mustWait(r *flowRecord) bool {
+	t := r.target
+	if r.route == nil || t.unlimited() || c.waitingCount >= maxWaiting {
+		return false
+	}
+	return !t.limiter.hasRoom() && !t.idle()
+}
+
+// wait queues the request of a flow.
+func (c *Core) wait(now clock.Milli, tuple flow.Tuple, r *flowRecord, arrived clock.Milli) {
+	w := &waitingRequest{tuple: tuple, record: r, arrived: arrived, priority: r.route.Priority}
+	r.wait, r.requestedAt = w, 0
+	if r.route.LatencyGoal > 0 {
+		w.goal = arrived + r.route.LatencyGoal
+	}
+	if r.route.Timeout > 0 {
+		w.deadline = arrived + r.route.Timeout
+	}
+	l := r.target.limiter
+	l.waiting = append(l.waiting, w)
+	r.target.load.waiting++
+	c.waitingCount++
+}
+
+// trackWaiting updates the record of a flow whose request waits. A packet that
+// ends the flow ends the wait.
+func (c *Core) trackWaiting(now clock.Milli, s *flow.Segment, r *flowRecord) {
+	r.lastPacket = now
+	if seqAfter(s.Ack, r.ack) {
+		r.ack, r.lastAck = s.Ack, now
+		c.recordAnswer(now, r.target)
+	}
+	if end := s.Seq + uint32(s.Len); seqAfter(end, r.nextSeq) {
+		r.nextSeq = end
+	}
+	if s.Close || s.Reset {
+		r.endWait()
+		r.deactivate()
+		r.closed = true
+	}
+}
+
+// endWait marks a flow as no longer waiting. Its entry is removed by Releases.
+func (r *flowRecord) endWait() {
+	if r.wait != nil {
+		r.wait = nil
+		r.target.load.waiting--
+	}
+}
+
+// Releases returns the flows whose wait is over, in the order in which their
+// packets are to be forwarded.
+func (c *Core) Releases(now clock.Milli) []Release {
+	if c.waitingCount == 0 {
+		return nil
+	}
+	var list []Release
+	for _, l := range c.limiters {
+		if len(l.waiting) > 0 {
+			list = c.releaseFrom(now, l, list)
+		}
+	}
+	return list
+}
+
+// releaseFrom appends the releases of one pool to list.
+func (c *Core) releaseFrom(now clock.Milli, l *limiter, list []Release) []Release {
+	for {
+		w := l.next(now)
+		if w == nil {
+			return list
+		}
+		r := w.record
+		r.endWait()
+		r.requestedAt, r.lastData = now, now
+		r.queuedAhead = r.target.load.busy + r.target.load.peerBusy
+		r.target.load.busy++
+		l.begin(now, w.tuple, r)
+		c.flows.awaitingAnswer = append(c.flows.awaitingAnswer, pendingFlow{tuple: w.tuple, since: now})
+		list = append(list, Release{Tuple: w.tuple, Target: r.target, Route: r.route, Waited: now - w.arrived, Reason: Waiting})
+		l.waiting = slices.DeleteFunc(l.waiting, func(x *waitingRequest) bool { return x == w })
+		c.waitingCount--
+	}
+}
+
+// next returns the request to send next, nil if there is no room.
+func (l *limiter) next(now clock.Milli) *waitingRequest {
+	var best *waitingRequest
+	room := l.hasRoom()
+	for _, w := range l.waiting {
+		if t := w.record.target; w.ended() || !room && !t.unlimited() && !t.idle() {
+			continue
+		}
+		if best == nil || l.before(now, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// full reports whether a target has its part of the pool's limit in flight.
+func (t *Target) full() bool { return t.load.inFlight >= t.load.limit }
+
+// unlimited reports whether requests to a target don't wait: it gets no new flows
+// and may end soon, or it is slow. The requests of its open flows gain nothing by
+// waiting for the other targets. A slow target rejects what it can't queue, and only
+// that lets the client go to another one.
+func (t *Target) unlimited() bool { return t.load.limit == 0 || t.latency.slowness() > 1 }
+
+// idle reports whether a target has a free slot and none of this daemon's requests.
+func (t *Target) idle() bool { return t.load.inFlight == 0 && t.load.peerBusy < t.Slots }
+
+// rank is the order in which requests are sent.
+type rank int
+
+// The ranks.
+const (
+	// urgent requests fail unless they are sent now.
+	urgent rank = iota
+	// timely requests can still be answered within their latency goal.
+	timely
+	// late requests can't.
+	late
+)
+
+func (l *limiter) rank(now clock.Milli, w *waitingRequest) rank {
+	expected := clock.Milli(l.expected())
+	switch {
+	case w.deadline != 0 && now+max(2*expected, (w.deadline-w.arrived)/8) >= w.deadline:
+		return urgent
+	case w.goal == 0 || now+expected <= w.goal:
+		return timely
+	}
+	return late
+}
+
+// before reports whether request a is sent before request b: by rank, then by the
+// route's priority. Requests to targets with more in flight than their part go
+// after others of the same rank and priority. Among timely requests the newest goes first, as the others
+// would make all of them late; among the rest, the one that ends first.
+func (l *limiter) before(now clock.Milli, a, b *waitingRequest) bool {
+	ra, rb := l.rank(now, a), l.rank(now, b)
+	if ra == urgent || rb == urgent {
+		if ra != rb {
+			return ra < rb
+		}
+	}
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if ra != rb {
+		return ra < rb
+	}
+	if fa, fb := a.record.target.full(), b.record.target.full(); fa != fb {
+		return fb
+	}
+	if ra == timely {
+		return a.arrived > b.arrived
+	}
+	return a.deadline < b.deadline
+}
+
+// expireWaiting removes the requests whose flows ended or whose clients gave up.
+func (c *Core) expireWaiting(now clock.Milli, l *limiter) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
+		reason := FlowEnded
+		if !w.ended() {
+			if w.deadline == 0 || now < w.deadline {
+				return false
+			}
+			reason = TimedOut
+			w.record.endWait()
+		}
+		c.discarded = append(c.discarded, Release{Tuple: w.tuple, Waited: now - w.arrived, Reason: reason})
+		c.waitingCount--
+		return true
+	})
+}
+
+// Discarded returns the flows whose waiting packets are to be discarded, since the
+// last call.
+func (c *Core) Discarded() []Release {
+	list := c.discarded
+	c.discarded = nil
+	return list
+}
+
+// Waiting returns the number of requests that wait.
+func (c *Core) Waiting() int { return c.waitingCount }
+
+// ReleaseAll ends all waits, for a daemon that stops.
+func (c *Core) ReleaseAll(now clock.Milli) []Release {
+	for _, t := range c.targets {
+		t.load.limit = 0
+	}
+	return c.Releases(now)
+}
+
+// rejects reports whether a new flow is to be rejected: the requests of the same
+// or a higher priority that wait for the pool take longer than a part of the
+// route's timeout, so the flow would only make others fail.
+func (c *Core) rejects(route *Route, t *Target) bool {
+	l := t.limiter
+	if len(l.waiting) == 0 || route.Timeout == 0 || l.usual == 0 {
+		return false
+	}
+	ahead := 0
+	for _, w := range l.waiting {
+		if w.priority <= route.Priority {
+			ahead++
+		}
+	}
+	return float64(ahead)*l.usual/(l.capacity*l.share) > backlogPart*float64(route.Timeout)
+}
+
+// PoolBelief is a daemon's view of a pool's load, as /belief shows it.
+type PoolBelief struct {
+	Pool schema.Name
+	// Limit is the number of requests that this daemon may have in flight, zero if
+	// there is none. It is Capacity, what the targets process at the same time,
+	// times Depth, times this daemon's Share.
+	Limit    float64
+	Capacity float64
+	Depth    float64
+	Share    float64
+	InFlight int
+	Waiting  int
+	// Usual is the usual time to the first byte without queues, in milliseconds.
+	Usual float64
+}
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -26,6 +26,14 @@
 	}
 	c.evaluateTargets(now)
 	c.resetUnresponsive(now)
+	for _, l := range c.limiters {
+		c.expireLost(now, l)
+		c.expireWaiting(now, l)
+	}
+	if now-c.limitsUpdated >= sumInterval {
+		c.limitsUpdated = now
+		c.updateLimits(now)
+	}
 	if now-c.lastScan < scanInterval {
 		return
 	}
@@ -56,7 +64,7 @@
 // flows of targets that are gone.
 func (c *Core) scan(now clock.Milli) {
 	for _, t := range c.targets {
-		t.load.flows, t.load.busy, t.load.remembered = 0, 0, 0
+		t.load.busy, t.load.remembered = 0, 0
 		t.latency.pending = latencySum{}
 	}
 	c.rotateLatencyWindows(now)
@@ -76,9 +84,12 @@
 		}
 		r.target.load.remembered++
 		if silent > activeWindow {
+			r.deactivate()
 			continue
 		}
-		r.target.load.flows++
+		if !r.active {
+			r.activate()
+		}
 		if r.requestedAt != 0 && c.isLongWait(now, r) {
 			r.target.latency.pending.add(r.target.withoutQueue(now-r.requestedAt, r.queuedAhead))
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -40,10 +40,12 @@
 	Reset
 	// Hold keeps the packet until the daemon knows the deployment.
 	Hold
+	// Queue keeps the packet until Releases or Discarded returns its flow.
+	Queue
 	Actions // number of actions
 )
 
-var actionNames = [Actions]string{"drop", "deliver", "reset", "hold"}
+var actionNames = [Actions]string{"drop", "deliver", "reset", "hold", "queue"}
 
 // String implements fmt.Stringer.
 func (a Action) String() string { return actionNames[a] }
@@ -78,12 +80,22 @@
 	// ColdBudget means that the route has only cold targets left, and that this
 	// daemon's share of their rate is used up.
 	ColdBudget
+	// Waiting means that the flow's request waits for room at its pool.
+	Waiting
+	// FlowEnded means that the flow ended while its request waited.
+	FlowEnded
+	// TimedOut means that the route's timeout ended while the request waited.
+	TimedOut
+	// Overloaded means that the flow's pool can't process the requests that wait
+	// already in time.
+	Overloaded
 	Reasons // number of reasons
 )
 
 var reasonNames = [Reasons]string{
 	"by_cookie", "opened", "copy_of_open", "no_route", "no_target", "unknown_cookie",
 	"target_gone", "target_dark", "route_gone", "not_ready", "old_view", "cold_budget",
+	"waiting", "flow_ended", "timed_out", "overloaded",
 }
 
 // String implements fmt.Stringer.
@@ -126,6 +138,8 @@
 	probe           probeState
 	latency         latencyStats
 	cold            openBudget
+	// limiter is that of the target's pool.
+	limiter *limiter
 }
 
 // Route is a route with its pools resolved. total is the sum of their weights.
@@ -164,6 +178,13 @@
 	routes        map[serviceKey]*Route
 	removedRoutes map[serviceKey]clock.Milli
 	pools         map[schema.Name]*pool
+	// limiters holds the limiters of the pools, waitingCount is the number of
+	// requests that wait in them. discarded is what Discarded has not returned yet.
+	limiters     map[schema.Name]*limiter
+	waitingCount int
+	discarded    []Release
+	// limitsUpdated is when the limits were last computed.
+	limitsUpdated clock.Milli
 	table         *fleet.Table
 	flows         flowTable
 	peers         map[schema.VMID]*peerLoads
@@ -246,6 +267,7 @@
 		routes:             make(map[serviceKey]*Route),
 		removedRoutes:      make(map[serviceKey]clock.Milli),
 		pools:              make(map[schema.Name]*pool),
+		limiters:           make(map[schema.Name]*limiter),
 		flows:              newFlowTable(maxFlows),
 		peers:              make(map[schema.VMID]*peerLoads),
 		admitter:           func(fleet.Code) bool { return true },
@@ -257,6 +279,7 @@
 		lastTick:           clock.Never,
 		lastStall:          clock.Never,
 		lastSum:            clock.Never,
+		limitsUpdated:      clock.Never,
 		unresponsiveDCs:    make(map[schema.DataCentreID]bool),
 		lastAnswerDCs:      make(map[schema.DataCentreID]clock.Milli),
 		paths:              make(map[schema.DataCentreID]*path),
--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -37,6 +37,7 @@
 	ConfigVersion int64
 	Topics        []TopicBelief
 	Targets       []steer.TargetBelief
+	Pools         []steer.PoolBelief
 	Flows         []steer.FlowBelief `json:",omitempty"`
 }
 
@@ -57,7 +58,7 @@
 	b := &Belief{
 		ID: d.cfg.ID, DataCentre: d.cfg.DataCentre, Ready: d.isReady(), Leaving: d.leaving,
 		Deaf: d.core.NoTargetAnswers(now), CutOff: d.membership.CutOff(now), Withdrawn: d.withdrawn(),
-		Peers: d.membership.Members(now), Rank: d.membership.Rank(now), Targets: d.core.Beliefs(now),
+		Peers: d.membership.Members(now), Rank: d.membership.Rank(now), Targets: d.core.Beliefs(now), Pools: d.core.PoolBeliefs(),
 	}
 	if t := d.core.Replica().Table(); t != nil {
 		b.ConfigVersion = t.Version
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,6 +91,7 @@
 	// storeFailedAt is when the store last failed, Never if it answered since.
 	storeFailedAt clock.Milli
 	held          []heldPacket
+	queued        packetQueue
 	// leaving is set during a graceful stop.
 	leaving bool
 	// leftAt is when the graceful stop began, lastStopCheck when mayStop was
@@ -134,6 +135,7 @@
 		pullQueue:          make(chan netip.AddrPort, 1),
 		probeQueue:         make(chan steer.Probe, steer.MaxProbes),
 		leave:              make(chan struct{}),
+		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
 		store:              object.NewClient("http://"+cfg.Store.String(), object.WithTimeout(storeTimeout)),
 	}
 	d.metrics = newInstruments(d)
@@ -254,6 +256,7 @@
 	d.lastPacket = now
 	v := d.core.Decide(now, s, d.isFresh(now))
 	d.execute(now, b, s, v)
+	d.forwardReleased(d.core.Releases(now))
 	d.mu.Unlock()
 }
 
@@ -274,6 +277,8 @@
 	case steer.Hold:
 		d.hold(now, b, s)
 		d.reader.EndAwait()
+	case steer.Queue:
+		d.queue(b, s)
 	}
 	if v.Changed {
 		d.log.decision(s, &v, d.reader.Age(now, fleet.Config), d.reader.Age(now, fleet.Targets), d.core.Replica().Revs())
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -48,6 +48,8 @@
 	}
 	d.lastTick = now
 	d.core.Tick(now)
+	d.forwardReleased(d.core.Releases(now))
+	d.discardEnded(now)
 	for _, e := range d.core.Resets() {
 		d.dataPlane.Reset(&e.Tuple, e.Ack)
 		d.metrics.idleFlowsEnded.Inc()
@@ -137,10 +139,11 @@
 	}
 	d.lastStopCheck = now
 	since := now - d.leftAt
-	if since > d.cfg.Bounds.Grace-graceMargin {
-		return true
+	stop := since > d.cfg.Bounds.Grace-graceMargin || since > unreadyDelay && now-d.lastPacket > quietPeriod
+	if stop {
+		d.forwardReleased(d.core.ReleaseAll(now))
 	}
-	return since > unreadyDelay && now-d.lastPacket > quietPeriod
+	return stop
 }
 
 // watchSettings reloads the settings file periodically, to apply changes that
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,6 +27,11 @@
 	idleFlowsEnded  *metrics.Counter
 	probes          [steer.Outcomes]*metrics.Counter
 	omittedLines    *metrics.Counter
+	// queueFull counts packets dropped as the queue had no space, discarded those
+	// flows whose wait ended without an answer, waited how long requests waited.
+	queueFull *metrics.Counter
+	discarded [steer.Reasons]*metrics.Counter
+	waited    [fleet.Classes]*metrics.Histogram
 }
 
 func newInstruments(d *Daemon) *instruments {
@@ -41,6 +46,13 @@
 		peerSentBytes:   s.NewCounter("coltsfootdock_peer_sent_bytes_total"),
 		idleFlowsEnded:  s.NewCounter("coltsfootdock_idle_flows_ended_total"),
 		omittedLines:    s.NewCounter("coltsfootdock_log_lines_omitted_total"),
+		queueFull:       s.NewCounter("coltsfootdock_queue_full_total"),
+	}
+	for _, r := range []steer.Reason{steer.FlowEnded, steer.TimedOut} {
+		m.discarded[r] = s.NewCounter(fmt.Sprintf(`coltsfootdock_wait_ended_total{reason=%q}`, r))
+	}
+	for c := range m.waited {
+		m.waited[c] = s.NewHistogram(fmt.Sprintf(`coltsfootdock_request_wait_seconds{class=%q}`, fleet.Class(c)))
 	}
 	for a := range m.verdicts {
 		for r := range m.verdicts[a] {
@@ -67,6 +79,7 @@
 		return float64(d.reader.OldestAge(now)) / float64(clock.Second)
 	})
 	gauge("coltsfootdock_peers_alive", func(now clock.Milli) float64 { return float64(d.membership.Members(now)) })
+	gauge("coltsfootdock_waiting_requests", func(clock.Milli) float64 { return float64(d.core.Waiting()) })
 	gauge("coltsfootdock_flows", func(clock.Milli) float64 { return float64(d.core.Flows()) })
 	return m
 }
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -172,8 +172,10 @@
 
 // Load is a daemon's report to its peers on one target.
 type Load struct {
-	_     struct{} `cbor:",toarray"`
-	Code  Code
+	_    struct{} `cbor:",toarray"`
+	Code Code
+	// Flows is the number of active flows, Busy that of the requests without
+	// an answer.
 	Flows uint16
 	Busy  uint16
 	// Misses counts the sender's flows that the target may have left unanswered
