internal/coordination/steer: usual latency measured without queues, requests of moved flows counted as old

Cause: after all daemons were gone, the usual latency was first measured with full queues (111 ms, then 26, where it is 59), so the depth swung from 1.25 to 4; retransmitted requests of flows that other daemons had opened looked new and starved behind newer ones until their clients gave up. Change: the usual latency is taken only while the targets have no queues, and assumed by the goal before; such requests count as half of the timeout old, copies of first packets by their number.

--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -171,7 +171,7 @@
 func (c *Core) PoolBeliefs() []PoolBelief {
 	list := make([]PoolBelief, 0, len(c.limiters))
 	for _, l := range c.limiters {
-		b := PoolBelief{Pool: l.pool, Limit: l.limit, Capacity: l.capacity, Depth: l.depth, Share: l.share, InFlight: l.inFlight, Waiting: len(l.waiting), Usual: l.usual}
+		b := PoolBelief{Pool: l.pool, Limit: l.limit, Capacity: l.capacity, Depth: l.depth, Share: l.share, InFlight: l.inFlight, Waiting: len(l.waiting), Usual: l.usual()}
 		if math.IsInf(b.Limit, 1) {
 			b.Limit = 0
 		}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -76,7 +76,7 @@
 	t.answers.beginTrial(now)
 	if r := c.flows.add(s.Tuple); r != nil {
 		r.target, r.route = t, route
-		r.lastPacket, r.openedAt, r.arrivedAt, r.firstSeq = now, now, now, s.Seq
+		r.lastPacket, r.openedAt, r.arrivedAt, r.firstSeq = now, now, now-s.Age(), s.Seq
 		c.flows.opening = append(c.flows.opening, pendingFlow{tuple: s.Tuple, since: now})
 		r.activate()
 		t.load.remembered++
@@ -162,6 +162,9 @@
 		// Another daemon opened the flow.
 		c.lastMovedFlow = now
 		r.target, r.route, r.ack, r.nextSeq, r.lastPacket = t, route, s.Ack, s.Seq, now
+		if route != nil {
+			r.arrivedAt = now - clock.Milli(movedAge*float64(route.Timeout))
+		}
 		r.activate()
 		t.load.remembered++
 	}
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -54,8 +54,8 @@
 	// one waits for room.
 	inFlight bool
 	wait     *waitingRequest
-	// arrivedAt is when the flow's first packet came, zero after its first
-	// request.
+	// arrivedAt is when the client sent the flow's first packet, zero after its
+	// first request here.
 	arrivedAt clock.Milli
 	// active is set while the flow counts in its target's load.
 	active bool
--- a/internal/coordination/steer/latency.go
+++ b/internal/coordination/steer/latency.go
@@ -143,7 +143,7 @@
 	for name, list := range means {
 		slices.Sort(list)
 		usual[name] = list[(len(list)-1)/2]
-		c.limiter(name).usual = usual[name]
+		c.limiter(name).observe(usual[name])
 	}
 	for _, t := range c.targets {
 		was := t.latency.slowness() >= slowRatio
--- a/internal/coordination/steer/limit.go
+++ b/internal/coordination/steer/limit.go
@@ -22,9 +22,8 @@
 	lostFactor = 4
 	// minLost is the least time after which that happens.
 	minLost = 100 * clock.Milli(1)
-	// stalledFactor is the multiple of a target's part of the limit from which it
-	// counts as stalled.
-	stalledFactor = 2
+	// latencySmoothing is the weight of a new measurement in the usual latency.
+	latencySmoothing = 0.2
 )
 
 // limiter limits the requests that this daemon has in flight at one pool to its
@@ -47,13 +46,15 @@
 	share float64
 	// depth is the number of requests in flight for each unit of capacity.
 	depth float64
-	// inFlight is the number of this daemon's requests in flight, without the excess
-	// of stalled targets. sent lists the requests, oldest first.
+	// inFlight is the number of this daemon's requests in flight, without what
+	// exceeds its target's part of the limit. sent lists the requests, oldest first.
 	inFlight int
 	sent     []pendingFlow
-	// usual is the usual time to the first byte without queues, in milliseconds,
-	// zero if unknown.
-	usual float64
+	// measured is the mean time to the first byte while the targets have no queues,
+	// in milliseconds, zero if unknown.
+	measured float64
+	// queued is set while more requests are in flight than the targets process.
+	queued bool
 	// goal is the lowest latency goal of the pool's routes, zero if none is known.
 	goal    clock.Milli
 	waiting []*waitingRequest
@@ -77,14 +78,14 @@
 // hasRoom reports whether one more request may be sent to a target of the pool.
 func (l *limiter) hasRoom() bool { return float64(l.inFlight) < l.limit }
 
-// begin counts a request that is sent to a flow's target. What a stalled target has
-// in flight beyond a multiple of its part of the limit doesn't count, so that it
-// leaves the others' part free.
+// begin counts a request that is sent to a flow's target. What a target has in
+// flight beyond its part of the limit doesn't count, so that one that stalls leaves
+// the others' part free.
 func (l *limiter) begin(now clock.Milli, tuple flow.Tuple, r *flowRecord) {
 	t := r.target
 	r.inFlight = true
 	t.load.inFlight++
-	if t.load.inFlight <= stalledFactor*t.load.limit {
+	if t.load.inFlight <= t.load.limit {
 		l.inFlight++
 	}
 	l.sent = append(l.sent, pendingFlow{tuple: tuple, since: now})
@@ -97,19 +98,40 @@
 	}
 	t := r.target
 	r.inFlight = false
-	if t.load.inFlight <= stalledFactor*t.load.limit {
+	if t.load.inFlight <= t.load.limit {
 		t.limiter.inFlight--
 	}
 	t.load.inFlight--
 }
 
+// observe takes the usual latency of the pool's targets, in milliseconds. With queues
+// it tells little of the time that a request takes.
+func (l *limiter) observe(latency float64) {
+	switch {
+	case l.queued:
+	case l.measured == 0:
+		l.measured = latency
+	default:
+		l.measured += latencySmoothing * (latency - l.measured)
+	}
+}
+
+// usual returns the time to the first byte without queues, in milliseconds, zero if
+// unknown. Until it is measured, it is assumed to leave room for usualDepth.
+func (l *limiter) usual() float64 {
+	if l.measured == 0 {
+		return float64(l.goal) / (2 * usualDepth)
+	}
+	return l.measured
+}
+
 // expected returns the time in milliseconds from sending a request to the first
 // byte of its answer, zero if unknown.
-func (l *limiter) expected() float64 { return l.usual * l.depth }
+func (l *limiter) expected() float64 { return l.usual() * l.depth }
 
 // lostAfter returns the age at which a request no longer counts as in flight.
 func (l *limiter) lostAfter() clock.Milli {
-	if l.usual == 0 {
+	if l.expected() == 0 {
 		return busyWindow
 	}
 	return min(busyWindow, max(minLost, clock.Milli(lostFactor*l.expected())))
@@ -129,7 +151,8 @@
 	for _, l := range c.limiters {
 		l.capacity, l.inFlight = 0, 0
 	}
-	own, peers, busy := make(map[*limiter]int), make(map[*limiter]int), make(map[*limiter]int)
+	own, peers := make(map[*limiter]int), make(map[*limiter]int)
+	busy, sent := make(map[*limiter]int), make(map[*limiter]int)
 	for _, t := range c.targets {
 		t.load.limit = 0
 		if !c.acceptsNew(now, t) || c.avoids(now, t) {
@@ -138,17 +161,19 @@
 		l := t.limiter
 		l.capacity += t.capacity()
 		own[l] += t.load.flows
+		sent[l] += t.load.busy + t.load.peerBusy
 		peers[l] += t.load.peerFlows
 		busy[l] += t.load.peerBusy
 	}
 	unheard := c.unheardFactor()
 	for _, l := range c.limiters {
+		l.queued = float64(sent[l]) > l.capacity || len(l.waiting) > 0
 		l.update(float64(own[l]), unheard*float64(peers[l]), unheard*float64(busy[l]), c.members)
 	}
 	for _, t := range c.targets {
 		if l := t.limiter; c.acceptsNew(now, t) && !c.avoids(now, t) {
 			t.load.limit = max(1, int(math.Ceil(t.capacity()*l.depth*l.share)))
-			l.inFlight += min(t.load.inFlight, stalledFactor*t.load.limit)
+			l.inFlight += min(t.load.inFlight, t.load.limit)
 		}
 	}
 }
@@ -172,8 +197,8 @@
 func (l *limiter) update(own, peers, peerBusy float64, members int) {
 	l.share = (own + 1) / (own + peers + float64(max(1, members)))
 	l.depth = usualDepth
-	if l.goal > 0 && l.usual > 0 {
-		l.depth = min(maxDepth, max(minDepth, float64(l.goal)/(2*l.usual)))
+	if l.goal > 0 {
+		l.depth = min(maxDepth, max(minDepth, float64(l.goal)/(2*l.usual())))
 	}
 	l.limit = max(1, l.capacity*l.depth*l.share, l.capacity-peerBusy)
 	if l.capacity == 0 {
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -15,6 +15,10 @@
 	// backlogPart is the part of a route's timeout that the requests which wait
 	// already may take until new flows are rejected.
 	backlogPart = 0.5
+	// movedAge is the part of a route's timeout that the first request on a flow
+	// which another daemon opened is assumed to have waited: it may be a
+	// retransmission of one whose daemon failed.
+	movedAge = 0.5
 )
 
 // waitingRequest is a request of an open flow that waits for room at its pool.
@@ -204,7 +208,7 @@
 	if ra == timely {
 		return a.arrived > b.arrived
 	}
-	return a.deadline < b.deadline
+	return a.deadline != 0 && (b.deadline == 0 || a.deadline < b.deadline)
 }
 
 // expireWaiting removes the requests whose flows ended or whose clients gave up.
@@ -248,7 +252,7 @@
 // route's timeout, so the flow would only make others fail.
 func (c *Core) rejects(route *Route, t *Target) bool {
 	l := t.limiter
-	if len(l.waiting) == 0 || route.Timeout == 0 || l.usual == 0 {
+	if len(l.waiting) == 0 || route.Timeout == 0 {
 		return false
 	}
 	ahead := 0
@@ -257,7 +261,7 @@
 			ahead++
 		}
 	}
-	return float64(ahead)*l.usual/(l.capacity*l.share) > backlogPart*float64(route.Timeout)
+	return float64(ahead)*l.usual()/(l.capacity*l.share) > backlogPart*float64(route.Timeout)
 }
 
 // PoolBelief is a daemon's view of a pool's load, as /belief shows it.
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -82,7 +82,7 @@
 func TestWaitingOrder(t *testing.T) {
 	const now = 10 * clock.Second
 	l := newLimiter("desk")
-	l.usual = 50 // with the usual depth, 100 ms are expected
+	l.measured = 50 // with the usual depth, 100 ms are expected
 	x := &Target{load: load{limit: 1}, limiter: l}
 	request := func(age clock.Milli, priority int) *waitingRequest {
 		return &waitingRequest{record: &flowRecord{target: x}, arrived: now - age, goal: now - age + 250, deadline: now - age + 4000, priority: priority}
@@ -163,7 +163,7 @@
 	h := newLimitedHarness(t)
 	h.fill(idempotentAddress)
 	l := h.core.limiter("desk")
-	l.usual = 50
+	l.measured = 50
 	first := func(port uint16) *flow.Segment {
 		return &flow.Segment{Open: true, Seq: 7, Tuple: flow.Tuple{ClientPort: port, ServiceAddress: idempotentAddress.Addr().As4(), ServicePort: idempotentAddress.Port()}}
 	}
@@ -199,3 +199,31 @@
 	}
 	require.InDelta(t, 56*usualDepth, sum, 1)
 }
+
+// The latency without queues is not measured while there are some, and assumed by the
+// latency goal until then.
+func TestUsualLatencyIsMeasuredWithoutQueues(t *testing.T) {
+	l := newLimiter("desk")
+	require.Zero(t, l.usual())
+	l.goal, l.queued = 240, true
+	l.observe(500)
+	require.Equal(t, 60.0, l.usual())
+	l.queued = false
+	l.observe(50)
+	require.Equal(t, 50.0, l.usual())
+	l.queued = true
+	l.observe(500)
+	require.Equal(t, 50.0, l.usual())
+}
+
+// The first request of a flow that another daemon opened may have waited there: it
+// doesn't go before those whose age is known, and not to the end of the queue.
+func TestRequestOfMovedFlowCountsAsOld(t *testing.T) {
+	h := newLimitedHarness(t)
+	h.fill(idempotentAddress)
+	moved := &client{harness: h, seq: 1000, ack: 5000, tuple: flow.Tuple{ClientPort: 60000, ServiceAddress: idempotentAddress.Addr().As4(), ServicePort: idempotentAddress.Port()}, cookie: uint32(h.core.targets[0].Code)}
+	require.Equal(t, Queue, moved.request().Action)
+	w := h.core.flows.records[moved.tuple].wait
+	require.Equal(t, late, h.core.limiter("desk").rank(h.now, w))
+	require.Equal(t, h.now+2*clock.Second, w.deadline)
+}
--- a/internal/state/flow/segment.go
+++ b/internal/state/flow/segment.go
@@ -5,6 +5,8 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+
+	"coltsfootdock/internal/clock"
 )
 
 // Tuple identifies an IPv4 flow by the addresses and ports of the client and of
@@ -55,3 +57,13 @@
 	Ack uint32
 	Len uint16
 }
+
+// firstRetransmission is the time after which clients retransmit a first packet. It
+// doubles with each retransmission.
+const firstRetransmission = 200 * clock.Milli(1)
+
+// Age returns the time since the client sent the first copy of the packet, as far as
+// its count of retransmissions tells.
+func (s *Segment) Age() clock.Milli {
+	return firstRetransmission<<min(s.Retransmissions, 8) - firstRetransmission
+}
