--- a/internal/coordination/steer/limit.go
+++ b/internal/coordination/steer/limit.go
@@ -22,6 +22,9 @@
 	lostFactor = 4
 	// minLost is the least time after which that happens.
 	minLost = 100 * clock.Milli(1)
+	// excessFactor is the multiple of a target's part of the limit up to which its
+	// requests count.
+	excessFactor = 2
 	// latencySmoothing is the weight of a new measurement in the usual latency.
 	latencySmoothing = 0.2
 )
@@ -46,8 +49,8 @@
 	share float64
 	// depth is the number of requests in flight for each unit of capacity.
 	depth float64
-	// inFlight is the number of this daemon's requests in flight, without what
-	// exceeds its target's part of the limit. sent lists the requests, oldest first.
+	// inFlight is the number of this daemon's requests in flight, without the excess
+	// of stalled targets. sent lists the requests, oldest first.
 	inFlight int
 	sent     []pendingFlow
 	// measured is the mean time to the first byte while the targets have no queues,
@@ -79,13 +82,13 @@
 func (l *limiter) hasRoom() bool { return float64(l.inFlight) < l.limit }
 
 // begin counts a request that is sent to a flow's target. What a target has in
-// flight beyond its part of the limit doesn't count, so that one that stalls leaves
-// the others' part free.
+// flight beyond a multiple of its part of the limit doesn't count, so that one that
+// stalls leaves the others' part free.
 func (l *limiter) begin(now clock.Milli, tuple flow.Tuple, r *flowRecord) {
 	t := r.target
 	r.inFlight = true
 	t.load.inFlight++
-	if t.load.inFlight <= t.load.limit {
+	if t.load.inFlight <= excessFactor*t.load.limit {
 		l.inFlight++
 	}
 	l.sent = append(l.sent, pendingFlow{tuple: tuple, since: now})
@@ -98,7 +101,7 @@
 	}
 	t := r.target
 	r.inFlight = false
-	if t.load.inFlight <= t.load.limit {
+	if t.load.inFlight <= excessFactor*t.load.limit {
 		t.limiter.inFlight--
 	}
 	t.load.inFlight--
@@ -173,7 +176,7 @@
 	for _, t := range c.targets {
 		if l := t.limiter; c.acceptsNew(now, t) && !c.avoids(now, t) {
 			t.load.limit = max(1, int(math.Ceil(t.capacity()*l.depth*l.share)))
-			l.inFlight += min(t.load.inFlight, t.load.limit)
+			l.inFlight += min(t.load.inFlight, excessFactor*t.load.limit)
 		}
 	}
 }
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -12,13 +12,13 @@
 	// maxWaiting is the number of requests that may wait at this daemon. Beyond
 	// it, requests are sent on at once.
 	maxWaiting = 4096
-	// backlogPart is the part of a route's timeout that the requests which wait
-	// already may take until new flows are rejected.
-	backlogPart = 0.5
+	// urgentPart is the divisor of the timeout that gives the time before its end
+	// from which a request is urgent.
+	urgentPart = 8
 	// movedAge is the part of a route's timeout that the first request on a flow
 	// which another daemon opened is assumed to have waited: it may be a
 	// retransmission of one whose daemon failed.
-	movedAge = 0.5
+	movedAge = 0.75
 )
 
 // waitingRequest is a request of an open flow that waits for room at its pool.
@@ -177,7 +177,7 @@
 func (l *limiter) rank(now clock.Milli, w *waitingRequest) rank {
 	expected := clock.Milli(l.expected())
 	switch {
-	case w.deadline != 0 && now+max(2*expected, (w.deadline-w.arrived)/8) >= w.deadline:
+	case w.deadline != 0 && now+max(2*expected, (w.deadline-w.arrived)/urgentPart) >= w.deadline:
 		return urgent
 	case w.goal == 0 || now+expected <= w.goal:
 		return timely
@@ -248,8 +248,8 @@
 }
 
 // rejects reports whether a new flow is to be rejected: the requests of the same
-// or a higher priority that wait for the pool take longer than a part of the
-// route's timeout, so the flow would only make others fail.
+// or a higher priority that wait for the pool take longer than the route's timeout,
+// so one of them fails for each new one.
 func (c *Core) rejects(route *Route, t *Target) bool {
 	l := t.limiter
 	if len(l.waiting) == 0 || route.Timeout == 0 {
@@ -261,7 +261,7 @@
 			ahead++
 		}
 	}
-	return float64(ahead)*l.usual()/(l.capacity*l.share) > backlogPart*float64(route.Timeout)
+	return float64(ahead)*l.usual()/(l.capacity*l.share) > float64(route.Timeout)
 }
 
 // PoolBelief is a daemon's view of a pool's load, as /belief shows it.
