internal/standin/soak: refused flows are checked, cookies taken from the flow's own packets only

Change: a flow that a daemon refused whose first packet a living target has is a violation. It replaces the comparison of requests, which could not fail: a client sends no request on a refused flow. The cookie comes from packets whose number fits. Red first: TestLatePacketLeavesCookie with the line where it stood (expected 1, was 2); TestRefusalOfForwardedFlowIsFound shows the violation with a daemon that forwarded the packet, none without.

--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"coltsfootdock/internal/state/flow"
 )
 
 // Bounds that the simulated deployment guarantees, and the tolerances of the
@@ -68,6 +70,12 @@
 	Lines []string
 }
 
+// openKey identifies a flow by its addresses and the number of its first packet.
+type openKey struct {
+	tuple flow.Tuple
+	seq   uint32
+}
+
 // checker verifies the guarantees from what clients and targets observe.
 type checker struct {
 	mu            sync.Mutex
@@ -76,19 +84,22 @@
 	violations    []Violation
 	runs          map[uint64]int
 	nonIdempotent map[uint64]bool
-	mustNotRun    map[uint64]bool
+	// taken holds the flows whose first packet a target received, with the target,
+	// refused those that a daemon refused.
+	taken   map[openKey]*target
+	refused map[openKey]bool
 	checks        int
 	flows         int
 	served        int
 	lost          int
-	refused       int
+	rejected      int
 	// Requests sent and served later than stableWindow after faultsEnded.
 	sentAfterFaults, servedAfterFaults int
 	faultsEnded                        time.Time
 }
 
 func newChecker() *checker {
-	return &checker{started: time.Now(), runs: make(map[uint64]int), nonIdempotent: make(map[uint64]bool), mustNotRun: make(map[uint64]bool)}
+	return &checker{started: time.Now(), runs: make(map[uint64]int), nonIdempotent: make(map[uint64]bool), taken: make(map[openKey]*target), refused: make(map[openKey]bool)}
 }
 
 // recordViolation records a violated guarantee. About is a target's ID, a flow's
@@ -145,6 +156,37 @@
 	}
 }
 
+// recordTaken records that a target received the first packet of a flow, and checks
+// that no daemon had refused it. During packet disorder a late copy of the packet may
+// arrive after a refusal, when its client has given up the flow.
+func (c *checker) recordTaken(t *target, k openKey, disorder bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken[k] = t
+	if !disorder {
+		c.checkRefused(k)
+	}
+}
+
+// recordRefused records that a daemon refused a flow, and checks that no target has
+// its first packet.
+func (c *checker) recordRefused(k openKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[k] = true
+	c.checkRefused(k)
+}
+
+// checkRefused checks that a flow was refused only if no daemon forwarded its first
+// packet to a target that lives. The caller holds the lock.
+func (c *checker) checkRefused(k openKey) {
+	t := c.taken[k]
+	c.checks++
+	if c.refused[k] && t != nil && t.faults.stableAt(time.Now()) {
+		c.recordViolation("refused means not run", k.tuple.Source().String(), "flow %s:%d was refused although target %s received its first packet", k.tuple.Source(), k.tuple.ServicePort, t.id)
+	}
+}
+
 // checkReset checks a reset that the system, not the target, sent on an open
 // flow. Such a reset is allowed only without an accepting target that still holds
 // the flow, after the route's removal, or during and shortly after a fault of the
@@ -169,14 +211,11 @@
 func (c *checker) checkRun(id uint64, t *target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checks += 2
+	c.checks++
 	c.runs[id]++
 	if c.nonIdempotent[id] && c.runs[id] > 1 {
 		c.recordViolation("at most once", t.id, "request %x ran %d times, last on %s", id, c.runs[id], t.id)
 	}
-	if c.mustNotRun[id] {
-		c.recordViolation("refused means not run", t.id, "request %x ran on %s after its flow was refused", id, t.id)
-	}
 }
 
 // recordRequest records a request before it is sent.
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -141,7 +141,7 @@
 	}()
 	c.sys.checker.increment(&c.sys.checker.flows)
 	if !f.open() {
-		c.sys.checker.increment(&c.sys.checker.refused)
+		c.sys.checker.increment(&c.sys.checker.rejected)
 		return f
 	}
 	for range 5 + c.sys.rand()%40 {
@@ -205,6 +205,9 @@
 				waiting = false
 			case p := <-f.received:
 				if p.Segment.Reset {
+					if p.FromDaemon && p.Segment.Seq == 0 { // otherwise it belongs to an earlier flow
+						f.system.checker.recordRefused(openKey{f.tuple, f.seq})
+					}
 					return false
 				}
 				if p.Accept && p.Segment.Ack == f.seq+1 { // otherwise it belongs to an earlier flow
@@ -259,10 +262,10 @@
 		}
 		return true, false
 	}
-	f.cookie = p.Segment.Cookie
 	if len(p.Data) == 0 || p.Segment.Seq != f.ack {
-		return false, false // a duplicate acceptance or an earlier answer
+		return false, false // a duplicate acceptance, an earlier answer or an earlier flow's
 	}
+	f.cookie = p.Segment.Cookie
 	got := uint64(0)
 	if len(p.Data) >= idSize {
 		got = binary.BigEndian.Uint64(p.Data)
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -78,7 +78,7 @@
 		c.violations[i].Lines = s.logLinesAbout(c.violations[i].About)
 	}
 	return &Result{
-		Seed: s.opts.Seed, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.refused,
+		Seed: s.opts.Seed, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
 		Checks: c.checks, Broken: c.violations,
 	}
 }
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -244,6 +244,7 @@
 			d, r := t.sys.daemonAt(from), t.sys.routeAt(s.Tuple.Service())
 			t.mu.Unlock()
 			t.sys.checker.checkOpen(t, d, r, time.Now())
+			t.sys.checker.recordTaken(t, openKey{s.Tuple, s.Seq}, t.sys.packetDisorder.Load())
 			t.mu.Lock()
 		}
 		reply.Seq, reply.Ack = f.initialSeq, f.nextReceive
