internal/coordination/steer: overload patterns in the model, idle targets only where all peers are heard

Cause: with 69 daemons of which each hears 20 peers, a target whose requests come from the others looked idle, so requests passed although the limit was used up (23 in flight at a limit of 10). A target counts as idle only if the loads of all peers are known.

--- a/internal/coordination/steer/latency_test.go
+++ b/internal/coordination/steer/latency_test.go
@@ -61,6 +61,10 @@
 	fanOut   int
 	requests int
 	late     int
+	// waited counts the requests that waited at their daemons.
+	waited int
+	// waiting holds the requests that wait at each daemon.
+	waiting []map[flow.Tuple]*simRequest
 	// queued counts the requests that waited for a slot.
 	queued int
 }
@@ -79,6 +83,7 @@
 		h := newHarness(t, list...)
 		h.core.random = rand.New(rand.NewPCG(uint64(i), 1))
 		s.daemons = append(s.daemons, h)
+		s.waiting = append(s.waiting, make(map[flow.Tuple]*simRequest))
 	}
 	return s
 }
@@ -88,7 +93,7 @@
 
 // run resets the counts and simulates d of traffic with rate requests a second.
 func (s *simulation) run(d clock.Milli, rate float64) {
-	s.requests, s.late, s.queued = 0, 0, 0
+	s.requests, s.late, s.queued, s.waited = 0, 0, 0, 0
 	for _, x := range s.byID {
 		x.received = 0
 	}
@@ -100,6 +105,7 @@
 			if s.now%25 == 0 {
 				h.core.Tick(s.now)
 			}
+			s.release(i)
 			if (s.now+clock.Milli(35*i))%250 == 0 {
 				s.report(i)
 			}
@@ -130,18 +136,39 @@
 
 // startRequest opens a flow through a random daemon and sends its request.
 func (s *simulation) startRequest() {
-	c := s.daemons[s.random.IntN(len(s.daemons))].open(idempotentAddress).accept()
-	c.request()
-	s.requests++
+	i := s.random.IntN(len(s.daemons))
+	c := s.daemons[i].open(idempotentAddress).accept()
 	a := &simRequest{client: c, sentAt: s.now}
-	x := s.byID[c.target.ID]
-	x.received++
+	s.requests++
 	s.pending = append(s.pending, a)
+	if c.request().Action == Queue {
+		s.waited++
+		s.waiting[i][c.tuple] = a
+		return
+	}
+	s.arrive(a)
+}
+
+// arrive passes a request to its target.
+func (s *simulation) arrive(a *simRequest) {
+	x := s.byID[a.client.target.ID]
+	x.received++
 	if s.random.Float64() >= x.dropRate {
 		x.queue = append(x.queue, a)
 	}
 }
 
+// release passes on the requests whose wait at a daemon is over.
+func (s *simulation) release(i int) {
+	for _, r := range s.daemons[i].core.Releases(s.now) {
+		s.arrive(s.waiting[i][r.Tuple])
+		delete(s.waiting[i], r.Tuple)
+	}
+	for _, r := range s.daemons[i].core.Discarded() {
+		delete(s.waiting[i], r.Tuple)
+	}
+}
+
 // serve finishes the requests that are done and starts the next ones.
 func (s *simulation) serve(x *simTarget) {
 	x.running = slices.DeleteFunc(x.running, func(a *simRequest) bool {
--- a/internal/coordination/steer/limit.go
+++ b/internal/coordination/steer/limit.go
@@ -58,6 +58,8 @@
 	measured float64
 	// queued is set while more requests are in flight than the targets process.
 	queued bool
+	// allHeard is set if the loads of all peers are known.
+	allHeard bool
 	// goal is the lowest latency goal of the pool's routes, zero if none is known.
 	goal    clock.Milli
 	waiting []*waitingRequest
@@ -170,6 +172,7 @@
 	}
 	unheard := c.unheardFactor()
 	for _, l := range c.limiters {
+		l.allHeard = unheard == 1
 		l.queued = float64(sent[l]) > l.capacity || len(l.waiting) > 0
 		l.update(float64(own[l]), unheard*float64(peers[l]), unheard*float64(busy[l]), c.members)
 	}
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -158,8 +158,11 @@
 // that lets the client go to another one.
 func (t *Target) unlimited() bool { return t.load.limit == 0 || t.latency.slowness() > 1 }
 
-// idle reports whether a target has a free slot and none of this daemon's requests.
-func (t *Target) idle() bool { return t.load.inFlight == 0 && t.load.peerBusy < t.Slots }
+// idle reports whether a target is known to have a free slot, and has none of this
+// daemon's requests. Its requests don't wait for others that stall elsewhere.
+func (t *Target) idle() bool {
+	return t.limiter.allHeard && t.load.inFlight == 0 && t.load.peerBusy < t.Slots
+}
 
 // rank is the order in which requests are sent.
 type rank int
