internal/coordination/steer, cmd/coltsfootdock: pool loads summed once, explain shows limits

Cause: the limits asked twice for each target whether it gets new flows, and an operator could not see why requests wait. Change: one pass sums what a pool's targets have; explain prints each pool's limit, what is in flight, what waits and what the limit follows from.

--- a/cmd/coltsfootdock/cmd/explain.go
+++ b/cmd/coltsfootdock/cmd/explain.go
@@ -101,6 +101,9 @@
 	for _, t := range b.Topics {
 		fmt.Fprintf(w, "  %s: revision %d, confirmed %s\n", t.Topic, t.Rev, ago(t.Age))
 	}
+	for i := range b.Pools {
+		printPool(w, &b.Pools[i])
+	}
 	if _, err := netip.ParseAddrPort(query); err == nil {
 		return printFlows(w, b, query)
 	}
@@ -142,6 +145,17 @@
 	return nil
 }
 
+// printPool prints the limit of this daemon's requests at a pool and what it follows
+// from.
+func printPool(w io.Writer, p *steer.PoolBelief) {
+	if p.Limit == 0 {
+		fmt.Fprintf(w, "pool %s: no target gets new flows, requests don't wait\n", p.Pool)
+		return
+	}
+	fmt.Fprintf(w, "pool %s: %d requests in flight of at most %.1f, %d wait here; limit: %.1f at the same time, times %.2f, times this daemon's share of %.3f; usually %.0f ms\n",
+		p.Pool, p.InFlight, p.Limit, p.Waiting, p.Capacity, p.Depth, p.Share, p.Usual)
+}
+
 func printTarget(w io.Writer, t *steer.TargetBelief) {
 	fmt.Fprintf(w, "target %s of %s in %s at %s, cookie %s: takes new flows %t, load %.2f, %d flows and %d requests here, %d and %d at peers, heard %s\n",
 		t.ID, t.Pool, t.DataCentre, t.Address, t.Cookie, t.Takes, t.Load, t.Flows, t.Busy, t.PeerFlows, t.PeerBusy, ago(t.Heard))
--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -167,6 +167,22 @@
 	return list
 }
 
+// PoolBelief is a daemon's view of a pool's load, as /belief shows it.
+type PoolBelief struct {
+	Pool schema.Name
+	// Limit is the number of requests that this daemon may have in flight, zero if
+	// there is none. It is Capacity, what the targets process at the same time,
+	// times Depth, times this daemon's Share.
+	Limit    float64
+	Capacity float64
+	Depth    float64
+	Share    float64
+	InFlight int
+	Waiting  int
+	// Usual is the usual time to the first byte without queues, in milliseconds.
+	Usual float64
+}
+
 // PoolBeliefs returns the daemon's view of the pools' load, sorted by name.
 func (c *Core) PoolBeliefs() []PoolBelief {
 	list := make([]PoolBelief, 0, len(c.limiters))
--- a/internal/coordination/steer/limit.go
+++ b/internal/coordination/steer/limit.go
@@ -151,36 +151,44 @@
 	})
 }
 
+// poolLoad sums up the load of a pool's targets that get new flows.
+type poolLoad struct {
+	capacity            float64
+	ownFlows, peerFlows int
+	ownBusy, peerBusy   int
+}
+
+func (p *poolLoad) add(t *Target) {
+	p.capacity += t.capacity()
+	p.ownFlows += t.load.flows
+	p.peerFlows += t.load.peerFlows
+	p.ownBusy += t.load.busy
+	p.peerBusy += t.load.peerBusy
+}
+
 // updateLimits recomputes the limits of all pools and targets.
 func (c *Core) updateLimits(now clock.Milli) {
+	loads := make(map[*limiter]*poolLoad, len(c.limiters))
 	for _, l := range c.limiters {
-		l.capacity, l.inFlight = 0, 0
+		loads[l] = new(poolLoad)
+		l.inFlight = 0
 	}
-	own, peers := make(map[*limiter]int), make(map[*limiter]int)
-	busy, sent := make(map[*limiter]int), make(map[*limiter]int)
+	c.available = c.available[:0]
 	for _, t := range c.targets {
 		t.load.limit = 0
-		if !c.acceptsNew(now, t) || c.avoids(now, t) {
-			continue
+		if c.acceptsNew(now, t) && !c.avoids(now, t) {
+			c.available = append(c.available, t)
+			loads[t.limiter].add(t)
 		}
-		l := t.limiter
-		l.capacity += t.capacity()
-		own[l] += t.load.flows
-		sent[l] += t.load.busy + t.load.peerBusy
-		peers[l] += t.load.peerFlows
-		busy[l] += t.load.peerBusy
 	}
 	unheard := c.unheardFactor()
-	for _, l := range c.limiters {
-		l.allHeard = unheard == 1
-		l.queued = float64(sent[l]) > l.capacity || len(l.waiting) > 0
-		l.update(float64(own[l]), unheard*float64(peers[l]), unheard*float64(busy[l]), c.members)
+	for l, load := range loads {
+		l.update(load, unheard, c.members)
 	}
-	for _, t := range c.targets {
-		if l := t.limiter; c.acceptsNew(now, t) && !c.avoids(now, t) {
-			t.load.limit = max(1, int(math.Ceil(t.capacity()*l.depth*l.share)))
-			l.inFlight += min(t.load.inFlight, excessFactor*t.load.limit)
-		}
+	for _, t := range c.available {
+		l := t.limiter
+		t.load.limit = max(1, int(math.Ceil(t.capacity()*l.depth*l.share)))
+		l.inFlight += min(t.load.inFlight, excessFactor*t.load.limit)
 	}
 }
 
@@ -197,11 +205,14 @@
 	return max(1, float64(c.members-1)/float64(len(c.peers)))
 }
 
-// update computes the limit from the active flows of this daemon and of its peers,
-// and from the peers' requests in flight. Slots that the peers leave free may be
-// used whatever the share.
-func (l *limiter) update(own, peers, peerBusy float64, members int) {
-	l.share = (own + 1) / (own + peers + float64(max(1, members)))
+// update computes the limit from the pool's load. The peers' part of it is multiplied
+// by unheard. Slots that the peers leave free may be used whatever the share.
+func (l *limiter) update(p *poolLoad, unheard float64, members int) {
+	peerFlows, peerBusy := unheard*float64(p.peerFlows), unheard*float64(p.peerBusy)
+	l.capacity = p.capacity
+	l.allHeard = unheard == 1
+	l.queued = len(l.waiting) > 0 || float64(p.ownBusy+p.peerBusy) > p.capacity
+	l.share = float64(p.ownFlows+1) / (float64(p.ownFlows+max(1, members)) + peerFlows)
 	l.depth = usualDepth
 	if l.goal > 0 {
 		l.depth = min(maxDepth, max(minDepth, float64(l.goal)/(2*l.usual())))
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -5,7 +5,6 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/flow"
-	"coltsfootdock/pkg/schema"
 )
 
 const (
@@ -266,19 +265,3 @@
 	}
 	return float64(ahead)*l.usual()/(l.capacity*l.share) > float64(route.Timeout)
 }
-
-// PoolBelief is a daemon's view of a pool's load, as /belief shows it.
-type PoolBelief struct {
-	Pool schema.Name
-	// Limit is the number of requests that this daemon may have in flight, zero if
-	// there is none. It is Capacity, what the targets process at the same time,
-	// times Depth, times this daemon's Share.
-	Limit    float64
-	Capacity float64
-	Depth    float64
-	Share    float64
-	InFlight int
-	Waiting  int
-	// Usual is the usual time to the first byte without queues, in milliseconds.
-	Usual float64
-}
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -189,11 +189,10 @@
 // The limits of daemons with different shares of the flows add up to the capacity.
 func TestLimitsAddUp(t *testing.T) {
 	sum := 0.0
-	flows := []float64{10, 10, 20, 60, 100}
+	flows := []int{10, 10, 20, 60, 100}
 	for _, own := range flows {
 		l := newLimiter("desk")
-		l.capacity = 56
-		l.update(own, 200-own, 56, len(flows))
+		l.update(&poolLoad{capacity: 56, ownFlows: own, peerFlows: 200 - own, peerBusy: 56}, 1, len(flows))
 		require.GreaterOrEqual(t, l.limit, 1.0)
 		sum += l.limit
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -183,7 +183,9 @@
 	limiters     map[schema.Name]*limiter
 	waitingCount int
 	discarded    []Release
-	// limitsUpdated is when the limits were last computed.
+	// available lists the targets that got new flows when the limits were last
+	// computed. limitsUpdated is when the limits were last computed.
+	available     []*Target
 	limitsUpdated clock.Milli
 	table         *fleet.Table
 	flows         flowTable
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -86,13 +86,13 @@
 	nonIdempotent map[uint64]bool
 	// taken holds the flows whose first packet a target received, with the target,
 	// refused those that a daemon refused.
-	taken   map[openKey]*target
-	refused map[openKey]bool
-	checks        int
-	flows         int
-	served        int
-	lost          int
-	rejected      int
+	taken    map[openKey]*target
+	refused  map[openKey]bool
+	checks   int
+	flows    int
+	served   int
+	lost     int
+	rejected int
 	// Requests sent and served later than stableWindow after faultsEnded.
 	sentAfterFaults, servedAfterFaults int
 	faultsEnded                        time.Time
