--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -53,7 +53,7 @@
 	if r.route == nil || t.unlimited() || c.waitingCount >= maxWaiting {
 		return false
 	}
-	return !t.limiter.hasRoom() && !t.idle()
+	return !t.limiter.hasRoom()
 }
 
 // wait queues the request of a flow.
@@ -138,7 +138,7 @@
 	var best *waitingRequest
 	room := l.hasRoom()
 	for _, w := range l.waiting {
-		if t := w.record.target; w.ended() || !room && !t.unlimited() && !t.idle() {
+		if w.ended() || !room && !w.record.target.unlimited() {
 			continue
 		}
 		if best == nil || l.before(now, w, best) {
@@ -157,12 +157,6 @@
 // that lets the client go to another one.
 func (t *Target) unlimited() bool { return t.load.limit == 0 || t.latency.slowness() > 1 }
 
-// idle reports whether a target is known to have a free slot, and has none of this
-// daemon's requests. Its requests don't wait for others that stall elsewhere.
-func (t *Target) idle() bool {
-	return t.limiter.allHeard && t.load.inFlight == 0 && t.load.peerBusy < t.Slots
-}
-
 // rank is the order in which requests are sent.
 type rank int
 
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -226,3 +226,26 @@
 	require.Equal(t, late, h.core.limiter("desk").rank(h.now, w))
 	require.Equal(t, h.now+clock.Second, w.deadline)
 }
+
+// The depth leaves half of the latency goal for the queues at the targets.
+func TestDepthFollowsLatencyGoal(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		goal  clock.Milli
+		usual float64
+		depth float64
+	}{
+		{"unknown goal", 0, 55, usualDepth},
+		{"unknown latency", 250, 0, usualDepth},
+		{"tight goal", 110, 55, minDepth},
+		{"twice the usual latency and a half", 275, 55, 2.5},
+		{"loose goal", 4000, 55, maxDepth},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLimiter("desk")
+			l.goal, l.measured = c.goal, c.usual
+			l.update(&poolLoad{capacity: 10, peerBusy: 10}, 1, 1)
+			require.InDelta(t, c.depth, l.depth, 0.01)
+		})
+	}
+}
