internal/coordination/steer: waits end when the client has given up for certain

Cause, found by reading: a request of a moved flow, taken as three quarters of the timeout old, was discarded after the last quarter although its client may wait on; its retransmission then counted as a miss of a target that never got it. Without any available target a waiting request would have rejected all new flows. Change: the assumed age orders, and only the whole timeout since the request came ends a wait; the flow is forgotten then, so a retransmission is a new request. TestRetransmissionAfterTimeoutIsNoMiss; without the removal it is delivered past the limit and counted as a retransmission.

--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -26,10 +26,11 @@
 	record *flowRecord
 	// arrived is when the flow was opened for this request, or when the request
 	// came. goal and deadline are when its answer is late and when its client
-	// gives up; zero if unknown.
+	// gives up, expires is when it has given up for certain; zero if unknown.
 	arrived  clock.Milli
 	goal     clock.Milli
 	deadline clock.Milli
+	expires  clock.Milli
 	priority int
 }
 
@@ -64,7 +65,7 @@
 		w.goal = arrived + r.route.LatencyGoal
 	}
 	if r.route.Timeout > 0 {
-		w.deadline = arrived + r.route.Timeout
+		w.deadline, w.expires = arrived+r.route.Timeout, now+r.route.Timeout
 	}
 	l := r.target.limiter
 	l.waiting = append(l.waiting, w)
@@ -182,9 +183,9 @@
 }
 
 // before reports whether request a is sent before request b: by rank, then by the
-// route's priority. Requests to targets with more in flight than their part go
-// after others of the same rank and priority. Among timely requests the newest goes first, as the others
-// would make all of them late; among the rest, the one that ends first.
+// route's priority. Requests to targets with more in flight than their part go after
+// others of the same rank and priority. Among timely requests the newest goes first,
+// as the others would make all of them late; among the rest, the one that ends first.
 func (l *limiter) before(now clock.Milli, a, b *waitingRequest) bool {
 	ra, rb := l.rank(now, a), l.rank(now, b)
 	if ra == urgent || rb == urgent {
@@ -207,16 +208,17 @@
 	return a.deadline != 0 && (b.deadline == 0 || a.deadline < b.deadline)
 }
 
-// expireWaiting removes the requests whose flows ended or whose clients gave up.
+// expireWaiting removes the requests whose flows ended or whose clients gave up. The
+// latter flows are forgotten: a retransmission was not forwarded before.
 func (c *Core) expireWaiting(now clock.Milli, l *limiter) {
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		reason := FlowEnded
 		if !w.ended() {
-			if w.deadline == 0 || now < w.deadline {
+			if w.expires == 0 || now < w.expires {
 				return false
 			}
 			reason = TimedOut
-			w.record.endWait()
+			c.flows.remove(w.tuple)
 		}
 		c.discarded = append(c.discarded, Release{Tuple: w.tuple, Waited: now - w.arrived, Reason: reason})
 		c.waitingCount--
@@ -248,7 +250,7 @@
 // so one of them fails for each new one.
 func (c *Core) rejects(route *Route, t *Target) bool {
 	l := t.limiter
-	if len(l.waiting) == 0 || route.Timeout == 0 {
+	if len(l.waiting) == 0 || route.Timeout == 0 || l.capacity == 0 {
 		return false
 	}
 	ahead := 0
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -225,6 +225,21 @@
 	w := h.core.flows.records[moved.tuple].wait
 	require.Equal(t, late, h.core.limiter("desk").rank(h.now, w))
 	require.Equal(t, h.now+clock.Second, w.deadline)
+	require.Equal(t, h.now+4*clock.Second, w.expires, "its client may wait for longer")
+}
+
+// A client that retransmits a request after its wait timed out is heard, and the
+// target is not blamed for the packets that it never got.
+func TestRetransmissionAfterTimeoutIsNoMiss(t *testing.T) {
+	h := newLimitedHarness(t)
+	flows := h.fill(idempotentAddress)
+	last := flows[len(flows)-1]
+	h.core.flows.records[last.tuple].wait.expires = h.now
+	h.advance(25)
+	require.Len(t, h.core.Discarded(), 1)
+	h.advance(200)
+	require.Equal(t, Queue, last.retransmit().Action)
+	require.Zero(t, h.core.targets[0].answers.missCount)
 }
 
 // The depth leaves half of the latency goal for the queues at the targets.
