internal/coordination/steer: only a request that follows at once counts from its flow's first packet

Cause, found by reading: the first request of a long flow counted from the flow's first packet however long ago that was, and a moved flow's from its first packet here also if that had no data; such requests went first as urgent. Change: a first request counts from the first packet within the time that clients retransmit it, and the first packet here of a moved flow alone counts as old. TestArrivalOfRequests.

--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -162,9 +162,7 @@
 		// Another daemon opened the flow.
 		c.lastMovedFlow = now
 		r.target, r.route, r.ack, r.nextSeq, r.lastPacket = t, route, s.Ack, s.Seq, now
-		if route != nil {
-			r.arrivedAt = now - clock.Milli(movedAge*float64(route.Timeout))
-		}
+		r.moved = true
 		r.activate()
 		t.load.remembered++
 	}
@@ -186,6 +184,7 @@
 	if r.closed {
 		r.deactivate()
 	}
+	r.moved = false
 	if answered {
 		c.recordAnswer(now, t)
 		c.latestAnsweredSend = max(c.latestAnsweredSend, lastSend)
@@ -207,10 +206,7 @@
 
 // beginRequest handles the first packet of a request: it is sent, or waits.
 func (c *Core) beginRequest(now clock.Milli, s *flow.Segment, r *flowRecord) {
-	arrived := now
-	if r.arrivedAt != 0 {
-		arrived, r.arrivedAt = r.arrivedAt, 0
-	}
+	arrived := r.arrival(now)
 	if c.mustWait(r) {
 		c.wait(now, s.Tuple, r, arrived)
 		return
--- a/internal/coordination/steer/flows.go
+++ b/internal/coordination/steer/flows.go
@@ -57,6 +57,9 @@
 	// arrivedAt is when the client sent the flow's first packet, zero after its
 	// first request here.
 	arrivedAt clock.Milli
+	// moved is set while the first packet here of a flow that another daemon opened
+	// is handled.
+	moved bool
 	// active is set while the flow counts in its target's load.
 	active bool
 }
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -57,6 +57,21 @@
 	return !t.limiter.hasRoom()
 }
 
+// arrival returns when the client sent a request that begins now, as far as known: a
+// flow's first request was waiting when the flow was opened, if it follows at once.
+// The first packet of a flow that another daemon opened may be a retransmission.
+func (r *flowRecord) arrival(now clock.Milli) clock.Milli {
+	opened := r.arrivedAt
+	r.arrivedAt = 0
+	switch {
+	case r.moved && r.route != nil:
+		return now - clock.Milli(movedAge*float64(r.route.Timeout))
+	case opened != 0 && now-opened <= openLifetime:
+		return opened
+	}
+	return now
+}
+
 // wait queues the request of a flow.
 func (c *Core) wait(now clock.Milli, tuple flow.Tuple, r *flowRecord, arrived clock.Milli) {
 	w := &waitingRequest{tuple: tuple, record: r, arrived: arrived, priority: r.route.Priority}
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -264,3 +264,24 @@
 		})
 	}
 }
+
+// A request counts from the first packet of its flow only if it follows at once.
+func TestArrivalOfRequests(t *testing.T) {
+	const now = 100 * clock.Second
+	route := &Route{Route: fleet.Route{Timeout: 4 * clock.Second}}
+	for _, c := range []struct {
+		name    string
+		record  flowRecord
+		arrived clock.Milli
+	}{
+		{"first request of a new flow", flowRecord{route: route, arrivedAt: now - 600}, now - 600},
+		{"first request after a pause", flowRecord{route: route, arrivedAt: now - 10*clock.Second}, now},
+		{"later request", flowRecord{route: route}, now},
+		{"first packet of a moved flow", flowRecord{route: route, moved: true}, now - 3*clock.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.arrived, c.record.arrival(now))
+			require.Equal(t, now, (&flowRecord{route: route, arrivedAt: c.record.arrivedAt}).arrival(now), "only the first request")
+		})
+	}
+}
