internal/coordination/steer: idle targets pass a full limit again

Cause: with slow targets of two slots and no overload, their requests use up the limit and others wait although their targets are idle.

--- a/internal/coordination/steer/limit.go
+++ b/internal/coordination/steer/limit.go
@@ -58,6 +58,8 @@
 	measured float64
 	// queued is set while more requests are in flight than the targets process.
 	queued bool
+	// allHeard is set if the loads of all peers are known.
+	allHeard bool
 	// goal is the lowest latency goal of the pool's routes, zero if none is known.
 	goal    clock.Milli
 	waiting []*waitingRequest
@@ -208,6 +210,7 @@
 func (l *limiter) update(p *poolLoad, unheard float64, members int) {
 	peerFlows, peerBusy := unheard*float64(p.peerFlows), unheard*float64(p.peerBusy)
 	l.capacity = p.capacity
+	l.allHeard = unheard == 1
 	l.queued = len(l.waiting) > 0 || float64(p.ownBusy+p.peerBusy) > p.capacity
 	l.share = float64(p.ownFlows+1) / (float64(p.ownFlows+max(1, members)) + peerFlows)
 	l.depth = usualDepth
--- a/internal/coordination/steer/queue.go
+++ b/internal/coordination/steer/queue.go
@@ -54,7 +54,7 @@
 	if r.route == nil || t.unlimited() || c.waitingCount >= maxWaiting {
 		return false
 	}
-	return !t.limiter.hasRoom()
+	return !t.limiter.hasRoom() && !t.idle()
 }
 
 // arrival returns when the client sent a request that begins now, as far as known: a
@@ -154,7 +154,7 @@
 	var best *waitingRequest
 	room := l.hasRoom()
 	for _, w := range l.waiting {
-		if w.ended() || !room && !w.record.target.unlimited() {
+		if t := w.record.target; w.ended() || !room && !t.unlimited() && !t.idle() {
 			continue
 		}
 		if best == nil || l.before(now, w, best) {
@@ -167,6 +167,12 @@
 // full reports whether a target has its part of the pool's limit in flight.
 func (t *Target) full() bool { return t.load.inFlight >= t.load.limit }
 
+// idle reports whether a target is known to have a free slot, and has none of this
+// daemon's requests. Its requests don't wait for others that stall elsewhere.
+func (t *Target) idle() bool {
+	return t.limiter.allHeard && t.load.inFlight == 0 && t.load.peerBusy < t.Slots
+}
+
 // unlimited reports whether requests to a target don't wait: it gets no new flows
 // and may end soon, or it is slow. The requests of its open flows gain nothing by
 // waiting for the other targets. A slow target rejects what it can't queue, and only
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -285,3 +285,18 @@
 		})
 	}
 }
+
+// Requests at a target that stalls use up the limit. One for an idle target doesn't wait
+// for them.
+func TestIdleTargetGetsRequestsBeyondLimit(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	h.apply(fleet.Update{Topic: fleet.Config, Full: true, Rev: 1100, Table: limitedTable()})
+	h.core.SetAdmitter(func(fleet.Code) bool { return true }, 1)
+	stalled, idle := h.openOn(idempotentAddress, target(1, "a").ID), h.openOn(idempotentAddress, target(2, "a").ID)
+	h.advance(200)
+	h.core.limiter("desk").limit = 1
+	require.Equal(t, Deliver, stalled.request().Action)
+	require.Equal(t, Queue, h.openOn(idempotentAddress, target(1, "a").ID).request().Action)
+	require.Equal(t, Deliver, idle.request().Action)
+	require.Equal(t, Queue, h.openOn(idempotentAddress, target(2, "a").ID).request().Action)
+}
