internal/coordination/steer: no rejections right after the fabric redistributed its flows

Cause, found by reading: a delayed duplicate of a first packet, which carries no count, may reach a daemon other than the one that forwarded the packet; a rejection of it would reset an open flow. Change: no rejection within the life of a first packet after a moved flow came. TestRejectsOnlyWhatNobodyForwarded has the case.

--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -48,7 +48,9 @@
 	if t == nil {
 		return c.refuse(route, reason, fresh)
 	}
-	if s.Retransmissions == 0 && fresh && c.rejects(route, t) {
+	// After the fabric redistributed its flows, a duplicate may come of a packet that
+	// another daemon forwarded.
+	if s.Retransmissions == 0 && fresh && now-c.lastMovedFlow > openLifetime && c.rejects(route, t) {
 		return Verdict{Action: Reset, Reason: Overloaded, Route: route, Changed: true}
 	}
 	return c.openTo(now, s, route, t, Opened)
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -181,6 +181,9 @@
 	copied := first(50003)
 	copied.Retransmissions = 1
 	require.Equal(t, Deliver, h.core.Decide(h.now, copied, true).Action, "another daemon may have forwarded the first copy")
+	h.core.lastMovedFlow = h.now
+	require.Equal(t, Deliver, h.core.Decide(h.now, first(50005), true).Action, "another daemon may have forwarded the packet that this one duplicates")
+	h.core.lastMovedFlow = clock.Never
 	urgent := first(50004)
 	urgent.Tuple.ServicePort = nonIdempotentAddress.Port()
 	require.Equal(t, Deliver, h.core.Decide(h.now, urgent, true).Action, "nothing as urgent waits")
