--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -280,6 +280,25 @@
 	return fmt.Errorf("%d of %d daemons are ready after 10 s", l.readyCount(), n)
 }
 
+// restartAll kills all daemons, starts them again and records how many are ready
+// after recoveryS.
+func (l *lab) restartAll() error {
+	for _, d := range l.daemons {
+		_ = d.cmd.Process.Kill()
+		<-d.exited
+	}
+	time.Sleep(1500 * time.Millisecond) // the router notices
+	l.rec.logf("all daemons are killed; %d are ready", l.readyCount())
+	for _, d := range l.daemons {
+		if err := l.start(d); err != nil {
+			return err
+		}
+	}
+	time.Sleep(12 * time.Second)
+	l.rec.say("12 s after all daemons were killed and started again %d of %d are ready", l.readyCount(), len(l.daemons))
+	return nil
+}
+
 func (l *lab) readyCount() int {
 	n := 0
 	for _, d := range l.daemons {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -13,6 +13,7 @@
 	"cold":       runCold,
 	"foreign":    runForeign,
 	"unreadable": runUnreadable,
+	"unborn":     runUnborn,
 }
 
 func main() {
--- a/review/lab/unreadable.go
+++ b/review/lab/unreadable.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 )
@@ -74,6 +75,11 @@
 	if l.total().answered == 0 {
 		return exitCannot, fmt.Errorf("no request was answered")
 	}
+	if os.Getenv("RESTART") == "1" {
+		if err := l.restartAll(); err != nil {
+			return exitCannot, err
+		}
+	}
 	late, after := 0, 0
 	b.mu.Lock()
 	for _, x := range b.opens {
