--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -88,6 +88,7 @@
 	store     *plat.Platform
 	storeAddr netip.AddrPort
 	rawValue  []byte
+	seedFrom  int
 	zones     []string
 	daemons   []*daemon
 	services  []service
@@ -199,13 +200,14 @@
 	l.rec.logf("manifest: version %d, %d routes, %d services", version, len(routes), len(services))
 }
 
-// startDaemons starts n daemons, in turn in the zones. Seeds are the first three.
+// startDaemons starts n daemons, in turn in the zones. Seeds are the three from
+// seedFrom on.
 func (l *lab) startDaemons(n int) error {
 	for i := range n {
 		d := &daemon{host: l.host(roleDaemon, i), zone: l.zones[i%len(l.zones)]}
 		d.settings = filepath.Join(l.dir, fmt.Sprintf("boot-%d.toml", i))
 		var seeds []string
-		for j := range min(3, n) {
+		for j := l.seedFrom; j < l.seedFrom+min(3, n); j++ {
 			seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(l.host(roleDaemon, j), l.control).String()))
 		}
 		text := fmt.Sprintf(`nodeName = "front-%s-%d"
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -14,6 +14,7 @@
 	"foreign":    runForeign,
 	"unreadable": runUnreadable,
 	"unborn":     runUnborn,
+	"alone":      runAlone,
 }
 
 func main() {
