--- a/review/lab/unreadable.go
+++ b/review/lab/unreadable.go
@@ -14,12 +14,14 @@
 // Figures of the case "unreadable".
 const (
 	drainBound = 3 * time.Second
+	evacBound  = 5 * time.Second
 	// depth is how deep the arrays of the other writer's value are nested: 22 kB.
 	depth = 11000
 )
 
 // runUnreadable lets another writer put an entry into the store whose value the
-// daemons can't read. Later a backend drains.
+// daemons can't read. Later a backend drains and a zone is evacuated. The
+// exit code is that of DRAIN alone.
 func runUnreadable(rec *recorder, trouble bool) (int, error) {
 	zones := []string{"north-a", "north-b", "north-c"}
 	l, err := newLab(rec, zones)
@@ -65,6 +67,9 @@
 	b := l.backends[0]
 	acked := b.drain()
 	rec.logf("backend %s: draining, accepted by the store", b.id)
+	l.store.Put("evacuations", zones[1], struct{}{})
+	evacuated := time.Now()
+	rec.logf("zone %s: evacuation accepted by the store", zones[1])
 	time.Sleep(12 * time.Second)
 	close(stop)
 	wg.Wait()
@@ -93,6 +98,17 @@
 		}
 	}
 	b.mu.Unlock()
+	out := 0
+	for _, x := range l.backends {
+		x.mu.Lock()
+		for _, o := range x.opens {
+			if x.zone == zones[1] && o.sent.Sub(evacuated) > evacBound {
+				out++
+			}
+		}
+		x.mu.Unlock()
+	}
+	rec.say("flows that backends of the evacuated zone took later than %s after its evacuation was accepted: %d", evacBound, out)
 	rec.say("flows that the draining backend took: %d after the store accepted its report, %d of them later than %s after", after, late, drainBound)
 	if late > 0 {
 		rec.say("DRAIN is broken")
