--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -51,6 +51,7 @@
 	running  int
 	queue    []func()
 	seq      int
+	lastBeat time.Time
 	silent   int // first packets left without an answer because the backend is full
 	opens    []openEvent
 	ran      int
@@ -127,6 +128,7 @@
 		state = "draining"
 	}
 	b.seq++
+	b.lastBeat = time.Now()
 	b.mu.Unlock()
 	if stopped {
 		return
@@ -163,7 +165,12 @@
 		case <-b.lab.stop:
 			return
 		case <-beat.C:
-			b.beat()
+			b.mu.Lock()
+			due := time.Since(b.lastBeat) > heartbeat*9/10 // not soon after a restart
+			b.mu.Unlock()
+			if due {
+				b.beat()
+			}
 		case <-repeat.C:
 			b.mu.Lock()
 			now := time.Now()
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -15,6 +15,7 @@
 	"unreadable": runUnreadable,
 	"unborn":     runUnborn,
 	"alone":      runAlone,
+	"restart":    runRestart,
 }
 
 func main() {
