--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -16,6 +16,7 @@
 	"unborn":     runUnborn,
 	"alone":      runAlone,
 	"restart":    runRestart,
+	"frozen":     runFrozen,
 }
 
 func main() {
--- a/review/lab/restart.go
+++ b/review/lab/restart.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"coltsfootdock/internal/state/flow"
@@ -14,6 +15,16 @@
 // had, cold. It plays the entry TestRestartIsNoticedAtOnce of KNOWN-RED.txt on the
 // cookie path. It has no folder of its own.
 func runRestart(rec *recorder, trouble bool) (int, error) {
+	return playRestarts(rec, trouble, false)
+}
+
+// runFrozen is runRestart with half of the daemons frozen for 0.9 s around each
+// restart (issue 18, 5). It has no folder of its own.
+func runFrozen(rec *recorder, trouble bool) (int, error) {
+	return playRestarts(rec, trouble, true)
+}
+
+func playRestarts(rec *recorder, trouble, freeze bool) (int, error) {
 	zones := []string{"north-a", "north-b", "north-c"}
 	l, err := newLab(rec, zones)
 	if err != nil {
@@ -57,9 +68,25 @@
 	})
 	time.Sleep(3 * time.Second)
 	for i := range 4 {
+		frozen := l.daemons[:3]
+		if !trouble || !freeze {
+			frozen = nil
+		}
+		for _, d := range frozen {
+			_ = d.cmd.Process.Signal(syscall.SIGSTOP)
+		}
+		if freeze {
+			time.Sleep(600 * time.Millisecond)
+		}
 		if trouble {
 			l.backends[i].restart(aloneWarmup)
 		}
+		if freeze {
+			time.Sleep(300 * time.Millisecond)
+		}
+		for _, d := range frozen {
+			_ = d.cmd.Process.Signal(syscall.SIGCONT)
+		}
 		time.Sleep(3 * time.Second)
 	}
 	close(stop)
