--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -138,13 +138,28 @@
 	return 0, errors.New("no free port")
 }
 
+// claimNet picks a range of loopback addresses that no other run uses: the run that
+// listens on the metrics port of its first address has it, until it ends.
+func (l *lab) claimNet() error {
+	for i := range 128 {
+		l.net = byte(64 + (os.Getpid()+i)%128)
+		if _, err := net.Listen("tcp4", netip.AddrPortFrom(l.host(roleStore, 0), 9464).String()); err == nil {
+			return nil
+		}
+	}
+	return errors.New("no free range of loopback addresses")
+}
+
 // newLab starts the store. It opens no daemon.
 func newLab(rec *recorder, zones []string) (*lab, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{rec: rec, dir: dir, net: byte(64 + os.Getpid()%128), zones: zones, stop: make(chan struct{})}
+	l := &lab{rec: rec, dir: dir, zones: zones, stop: make(chan struct{})}
+	if err := l.claimNet(); err != nil {
+		return nil, err
+	}
 	for _, p := range []*uint16{&l.data, &l.ready, &l.control, &l.peer, &l.backend} {
 		if *p, err = freePort(l.host(roleStore, 0)); err != nil {
 			return nil, err
