internal/entry: which version decides, and who holds another one

Change: summaries carry the version in force and, for each topic, a sum over names and revisions of the objects held. A difference at the same revision is counted and logged, explain and /belief print the fleet (version, revision, age, differences), a config line that is never sampled tells each version taken and from whom, flow lines name version and object revision, and gauges show version, revisions and ages. No decision uses the sums yet. The summary's layout changed: old and new daemons drop each other's summaries and read the store on their own while an upgrade goes on.

--- a/cmd/coltsfootdock/cmd/explain.go
+++ b/cmd/coltsfootdock/cmd/explain.go
@@ -101,6 +101,9 @@
 	for _, t := range b.Topics {
 		fmt.Fprintf(w, "  %s: revision %d, confirmed %s\n", t.Topic, t.Rev, ago(t.Age))
 	}
+	for i := range b.Fleet {
+		printPeer(w, &b.Fleet[i])
+	}
 	for i := range b.Pools {
 		printPool(w, &b.Pools[i])
 	}
@@ -120,6 +123,15 @@
 	return nil
 }
 
+// printPeer prints what a peer's last summary states of its view.
+func printPeer(w io.Writer, p *entry.PeerBelief) {
+	fmt.Fprintf(w, "peer %s in %s: configuration %d at revision %d, confirmed %s, heard %s", p.ID, p.DataCentre, p.ConfigVersion, p.ConfigRev, ago(p.ConfigAge), ago(p.Silence))
+	if len(p.Differs) > 0 {
+		fmt.Fprintf(w, "; other objects at the same revision: %s", strings.Join(p.Differs, ", "))
+	}
+	fmt.Fprintln(w)
+}
+
 // ago formats the time since an event; a negative one means that the event never
 // happened.
 func ago(d clock.Milli) string {
--- a/internal/coordination/watch/peers.go
+++ b/internal/coordination/watch/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
 )
 
@@ -34,6 +35,25 @@
 	// which another peer reports to have heard it.
 	lastHeard clock.Milli
 	score     uint64
+	view      View
+}
+
+// View is what a daemon holds of the deployment, as its last summary states it.
+type View struct {
+	// ConfigVersion is the version of the configuration in force, zero if there is
+	// none.
+	ConfigVersion int64
+	Revs          [fleet.Topics]schema.Version
+	Sums          [fleet.Topics]fleet.Sum
+	// Confirmed are the times at which the revisions were confirmed, Never if they
+	// were not.
+	Confirmed [fleet.Topics]clock.Milli
+}
+
+// Differs reports whether two views hold other objects of a topic although they are
+// complete up to the same revision: one of them is wrong.
+func (v *View) Differs(other *View, t fleet.Topic) bool {
+	return v.Revs[t] == other.Revs[t] && v.Sums[t] != other.Sums[t]
 }
 
 // PeerSet is a daemon's set of known peers. It is not safe for concurrent use.
@@ -133,6 +153,23 @@
 	return p
 }
 
+// RecordView records the view that a peer's summary states.
+func (ps *PeerSet) RecordView(from netip.AddrPort, v View) {
+	if p := ps.peers[from]; p != nil {
+		p.view = v
+	}
+}
+
+// Views calls f with each peer that sent a summary and is not known to be gone, in
+// the order of ranks.
+func (ps *PeerSet) Views(now clock.Milli, f func(p *Peer, v *View)) {
+	for _, p := range ps.ranked {
+		if p.ID != "" && ps.isMember(p, now) {
+			f(p, &p.view)
+		}
+	}
+}
+
 // Empty reports whether there are neither peers nor seeds.
 func (ps *PeerSet) Empty() bool { return len(ps.seeds)+len(ps.ranked) == 0 }
 
--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -35,10 +35,13 @@
 	// ConfigVersion is the version of the configuration in force, zero if there
 	// is none.
 	ConfigVersion int64
-	Topics        []TopicBelief
-	Targets       []steer.TargetBelief
-	Pools         []steer.PoolBelief
-	Flows         []steer.FlowBelief `json:",omitempty"`
+	// ConfigTable is the revision of the configuration's object.
+	ConfigTable schema.Version
+	Topics      []TopicBelief
+	Fleet       []PeerBelief
+	Targets     []steer.TargetBelief
+	Pools       []steer.PoolBelief
+	Flows       []steer.FlowBelief `json:",omitempty"`
 }
 
 // TopicBelief is the revision of a topic and the time since it was confirmed as
@@ -47,6 +50,25 @@
 	Topic string
 	Rev   schema.Version
 	Age   clock.Milli
+	Sum   fleet.Sum
+	// From is from whom the last change came: "store" or a peer's address; empty
+	// if there was none.
+	From string `json:",omitempty"`
+}
+
+// PeerBelief is what a peer's last summary states of its view.
+type PeerBelief struct {
+	ID            schema.VMID
+	DataCentre    schema.DataCentreID
+	Silence       clock.Milli
+	ConfigVersion int64
+	// ConfigRev is the revision of the configuration, ConfigAge the time since it
+	// was confirmed.
+	ConfigRev schema.Version
+	ConfigAge clock.Milli
+	// Differs lists the topics of which the peer holds other objects than this
+	// daemon although both are complete up to the same revision.
+	Differs []string `json:",omitempty"`
 }
 
 // belief returns a snapshot of the daemon's view, with the flows of client if
@@ -60,12 +82,13 @@
 		Deaf: d.core.NoTargetAnswers(now), CutOff: d.membership.CutOff(now), Withdrawn: d.withdrawn(),
 		Peers: d.membership.Members(now), Rank: d.membership.Rank(now), Targets: d.core.Beliefs(now), Pools: d.core.PoolBeliefs(),
 	}
-	if t := d.core.Replica().Table(); t != nil {
-		b.ConfigVersion = t.Version
-	}
-	for t := fleet.Topic(0); t < fleet.Topics; t++ {
-		b.Topics = append(b.Topics, TopicBelief{Topic: t.String(), Rev: d.core.Replica().Rev(t), Age: wireAge(d.reader.Age(now, t))})
+	b.ConfigVersion, b.ConfigTable = d.configVersion()
+	for t := range fleet.Topics {
+		b.Topics = append(b.Topics, TopicBelief{
+			Topic: t.String(), Rev: d.core.Replica().Rev(t), Age: wireAge(d.reader.Age(now, t)), Sum: d.core.Replica().Sum(t), From: d.learnedFrom[t],
+		})
 	}
+	b.Fleet = d.fleetBelief(now)
 	if client.Addr().Is4() {
 		b.Flows = d.core.FlowsOf(now, client.Addr().As4(), client.Port())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,9 @@
 	reader      *watch.Reader
 	membership  *watch.PeerSet
 	incarnation uint64
+	// learnedFrom tells from whom the last change of each topic came: "store" or a
+	// peer's address.
+	learnedFrom [fleet.Topics]string
 	// seq is the sequence number of the last summary.
 	seq      uint64
 	lastTick clock.Milli
@@ -281,6 +284,6 @@
 		d.queue(b, s)
 	}
 	if v.Changed {
-		d.log.decision(s, &v, d.reader.Age(now, fleet.Config), d.reader.Age(now, fleet.Targets), d.core.Replica().Revs())
+		d.log.decision(s, &v, d.logView(now))
 	}
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -108,8 +108,9 @@
 	}
 	for t := range s.Topics {
 		topic := fleet.Topic(t)
-		s.Topics[t] = digest.TopicState{Rev: d.core.Replica().Rev(topic), Age: wireAge(d.reader.Age(now, topic))}
+		s.Topics[t] = digest.TopicState{Rev: d.core.Replica().Rev(topic), Age: wireAge(d.reader.Age(now, topic)), Sum: d.core.Replica().Sum(topic)}
 	}
+	s.ConfigVersion, _ = d.configVersion()
 	if d.storeFailedAt != clock.Never {
 		s.StoreFailureAge = now - d.storeFailedAt
 	}
@@ -170,14 +171,12 @@
 	}
 	d.core.ApplyPeerLoads(now, s.ID, s.DataCentre, s.Loads, s.MissesOnly)
 	d.core.ApplyDeadTargets(now, s.DeadTargets)
+	view := viewOf(now, s)
+	d.membership.RecordView(from, view)
 	behind := false
-	for t := range s.Topics {
-		topic := fleet.Topic(t)
-		confirmed := clock.Never
-		if s.Topics[t].Age >= 0 {
-			confirmed = now - s.Topics[t].Age
-		}
-		behind = d.reader.RecordPeerRevision(now, topic, s.Topics[t].Rev, confirmed) || behind
+	for t := range fleet.Topics {
+		d.noteDifference(s.ID, &view, t)
+		behind = d.reader.RecordPeerRevision(now, t, view.Revs[t], view.Confirmed[t]) || behind
 	}
 	// A new daemon pulls from a peer even if its revisions are current, because
 	// the removed targets are known only to peers, not to the store.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -112,11 +112,29 @@
 	l.metrics.omittedLines.Inc()
 }
 
-// decision logs the verdict on a packet with the revisions and ages of the view
-// that it was based on, subject to the rate limit.
-func (l *asyncLog) decision(
-	s *flow.Segment, v *steer.Verdict, configAge, targetsAge clock.Milli, revs [fleet.Topics]schema.Version,
-) {
+// logView is the part of a daemon's view that lines about flows name.
+type logView struct {
+	// version and table are the version of the configuration in force and the
+	// revision of its object.
+	version int64
+	table   schema.Version
+	revs    [fleet.Topics]schema.Version
+	ages    [fleet.Topics]clock.Milli
+}
+
+// logView returns the daemon's view. The caller holds d.mu.
+func (d *Daemon) logView(now clock.Milli) *logView {
+	w := &logView{revs: d.core.Replica().Revs()}
+	w.version, w.table = d.configVersion()
+	for t := range fleet.Topics {
+		w.ages[t] = d.reader.Age(now, t)
+	}
+	return w
+}
+
+// decision logs the verdict on a packet with the view that it was based on, subject
+// to the rate limit.
+func (l *asyncLog) decision(s *flow.Segment, v *steer.Verdict, w *logView) {
 	if !l.limiter.Allow() {
 		l.mu.Lock()
 		l.omit()
@@ -130,7 +148,7 @@
 	if v.Route != nil {
 		route = v.Route.Name
 	}
-	l.infof("flow: client=%s service=%s route=%s target=%s cookie=%08x open=%t copy=%d action=%s reason=%s config=%d/%dms targets=%d/%dms",
+	l.infof("flow: client=%s service=%s route=%s target=%s cookie=%08x open=%t copy=%d action=%s reason=%s version=%d table=%d config=%d/%dms targets=%d/%dms",
 		s.Tuple.Source(), s.Tuple.Service(), route, target, s.Cookie, s.Open, s.Retransmissions, v.Action, v.Reason,
-		revs[fleet.Config], configAge, revs[fleet.Targets], targetsAge)
+		w.version, w.table, w.revs[fleet.Config], w.ages[fleet.Config], w.revs[fleet.Targets], w.ages[fleet.Targets])
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,6 +27,9 @@
 	idleFlowsEnded  *metrics.Counter
 	probes          [steer.Outcomes]*metrics.Counter
 	omittedLines    *metrics.Counter
+	// viewsDiffer counts the summaries of peers that hold other objects of a topic
+	// at the same revision.
+	viewsDiffer [fleet.Topics]*metrics.Counter
 	// queueFull counts packets dropped as the queue had no space, discarded those
 	// flows whose wait ended without an answer, waited how long requests waited.
 	queueFull *metrics.Counter
@@ -65,8 +68,9 @@
 	for o := range m.probes {
 		m.probes[o] = s.NewCounter(fmt.Sprintf(`coltsfootdock_probes_total{outcome=%q}`, steer.Outcome(o)))
 	}
-	for t := range m.storeCalls {
-		m.storeCalls[t] = s.NewHistogram(fmt.Sprintf(`coltsfootdock_store_call_seconds{topic=%q}`, fleet.Topic(t)))
+	for t := range fleet.Topics {
+		m.viewsDiffer[t] = s.NewCounter(fmt.Sprintf(`coltsfootdock_views_differ_total{topic=%q}`, t))
+		m.storeCalls[t] = s.NewHistogram(fmt.Sprintf(`coltsfootdock_store_call_seconds{topic=%q}`, t))
 	}
 	gauge := func(name string, f func(now clock.Milli) float64) {
 		s.NewGauge(name, func() float64 {
@@ -78,6 +82,21 @@
 	gauge("coltsfootdock_view_age_seconds", func(now clock.Milli) float64 {
 		return float64(d.reader.OldestAge(now)) / float64(clock.Second)
 	})
+	for t := range fleet.Topics {
+		gauge(fmt.Sprintf(`coltsfootdock_topic_revision{topic=%q}`, t), func(clock.Milli) float64 { return float64(d.core.Replica().Rev(t)) })
+		gauge(fmt.Sprintf(`coltsfootdock_topic_age_seconds{topic=%q}`, t), func(now clock.Milli) float64 {
+			return float64(d.reader.Age(now, t)) / float64(clock.Second)
+		})
+	}
+	gauge("coltsfootdock_config_version", func(clock.Milli) float64 {
+		version, _ := d.configVersion()
+		return float64(version)
+	})
+	gauge("coltsfootdock_config_table_revision", func(clock.Milli) float64 {
+		_, table := d.configVersion()
+		return float64(table)
+	})
+	gauge("coltsfootdock_peers_other_version", func(now clock.Milli) float64 { return float64(d.otherVersions(now)) })
 	gauge("coltsfootdock_peers_alive", func(now clock.Milli) float64 { return float64(d.membership.Members(now)) })
 	gauge("coltsfootdock_waiting_requests", func(clock.Milli) float64 { return float64(d.core.Waiting()) })
 	gauge("coltsfootdock_flows", func(clock.Milli) float64 { return float64(d.core.Flows()) })
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -77,14 +77,19 @@
 	} else {
 		u, err = d.store.WatchTopic(ctx, c.Topic, c.Since, c.Wait)
 	}
-	d.logBadObjects(u.Errors)
+	d.logBadObjects(c.Topic, u.Errors)
 	return &u.Update, err
 }
 
-// logBadObjects logs and counts the objects that could not be decoded.
-func (d *Daemon) logBadObjects(errs []error) {
+// logBadObjects logs and counts the objects that could not be decoded. Those of the
+// configuration are never sampled out.
+func (d *Daemon) logBadObjects(t fleet.Topic, errs []error) {
 	for _, err := range errs {
 		d.metrics.badObjects.Inc()
+		if t == fleet.Config {
+			d.log.infof("config: left out: %s", err)
+			continue
+		}
 		d.log.sampledf("store: object left out: %s", err)
 	}
 }
@@ -92,20 +97,33 @@
 // apply applies an update of a topic that came from the store or a peer. The
 // caller holds d.mu.
 func (d *Daemon) apply(now clock.Milli, u *fleet.Update, from string) {
+	before, _ := d.configVersion()
 	changed := d.core.Apply(now, u)
 	d.releaseHeld(now) // even if nothing changed: an empty list can make the deployment known
 	if !changed {
 		return
 	}
 	d.summaryUrgent = true
-	version := int64(0)
-	if t := d.core.Replica().Table(); t != nil {
-		version = t.Version
+	d.learnedFrom[u.Topic] = from
+	version, table := d.configVersion()
+	if u.Topic == fleet.Config {
+		d.log.infof("config: version=%d table=%d before=%d revision=%d from=%s full=%t routes=%d",
+			version, table, before, u.Rev, from, u.Full, len(d.core.Replica().Table().Routes))
 	}
 	d.log.sampledf("belief: topic=%s revision=%d from=%s full=%t targets=%d gone=%d outs=%d config=%d",
 		u.Topic, u.Rev, from, u.Full, len(u.Targets), len(u.Gone), len(u.Outs), version)
 }
 
+// configVersion returns the version of the configuration in force and the revision of
+// its object, zero if there is none. The caller holds d.mu.
+func (d *Daemon) configVersion() (int64, schema.Version) {
+	t := d.core.Replica().Table()
+	if t == nil {
+		return 0, 0
+	}
+	return t.Version, t.Rev
+}
+
 // noteStoreFailure records a failed call. The caller holds d.mu.
 func (d *Daemon) noteStoreFailure(now clock.Milli, err error) {
 	if d.storeFailedAt == clock.Never {
--- /dev/null
+++ b/internal/entry/views.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/watch"
+	"coltsfootdock/internal/protocol/digest"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+// viewOf returns the view that a peer's summary states.
+func viewOf(now clock.Milli, s *digest.Summary) watch.View {
+	v := watch.View{ConfigVersion: s.ConfigVersion}
+	for t, x := range s.Topics {
+		v.Revs[t], v.Sums[t], v.Confirmed[t] = x.Rev, x.Sum, clock.Never
+		if x.Age >= 0 {
+			v.Confirmed[t] = now - x.Age
+		}
+	}
+	return v
+}
+
+// view returns the daemon's own view. The caller holds d.mu.
+func (d *Daemon) view() watch.View {
+	v := watch.View{Revs: d.core.Replica().Revs(), Sums: d.core.Replica().Sums()}
+	v.ConfigVersion, _ = d.configVersion()
+	return v
+}
+
+// noteDifference counts and logs that a peer holds other objects of a topic than
+// this daemon although both are complete up to the same revision. The caller holds
+// d.mu.
+func (d *Daemon) noteDifference(peer schema.VMID, theirs *watch.View, t fleet.Topic) {
+	own := d.view()
+	if !own.Differs(theirs, t) {
+		return
+	}
+	d.metrics.viewsDiffer[t].Inc()
+	d.log.sampledf("views: topic=%s revision=%d differs from peer=%s: sum=%016x theirs=%016x version=%d theirs=%d",
+		t, own.Revs[t], peer, uint64(own.Sums[t]), uint64(theirs.Sums[t]), own.ConfigVersion, theirs.ConfigVersion)
+}
+
+// fleetBelief returns what the peers' last summaries state of their views. The caller
+// holds d.mu.
+func (d *Daemon) fleetBelief(now clock.Milli) []PeerBelief {
+	var list []PeerBelief
+	own := d.view()
+	d.membership.Views(now, func(p *watch.Peer, v *watch.View) {
+		b := PeerBelief{
+			ID: p.ID, DataCentre: p.DataCentre, Silence: now - p.Heard(),
+			ConfigVersion: v.ConfigVersion, ConfigRev: v.Revs[fleet.Config], ConfigAge: wireAge(now - v.Confirmed[fleet.Config]),
+		}
+		for t := range fleet.Topics {
+			if own.Differs(v, t) {
+				b.Differs = append(b.Differs, t.String())
+			}
+		}
+		list = append(list, b)
+	})
+	return list
+}
+
+// otherVersions returns how many peers state another version of the configuration
+// than this daemon has in force. The caller holds d.mu.
+func (d *Daemon) otherVersions(now clock.Milli) int {
+	n := 0
+	own, _ := d.configVersion()
+	d.membership.Views(now, func(_ *watch.Peer, v *watch.View) {
+		if v.ConfigVersion != own {
+			n++
+		}
+	})
+	return n
+}
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -38,6 +38,8 @@
 	// Age is the time since the revision was confirmed as current, in
 	// milliseconds; negative if it never was.
 	Age clock.Milli
+	// Sum identifies the objects that the sender holds.
+	Sum fleet.Sum
 }
 
 // Neighbour is another daemon that the sender has heard of.
@@ -61,6 +63,9 @@
 	// Leaving is set during a graceful stop.
 	Leaving bool
 	Topics  [fleet.Topics]TopicState
+	// ConfigVersion is the version of the configuration in force at the sender, zero
+	// if there is none.
+	ConfigVersion int64
 	// StoreFailureAge is the time since a read of the store last failed at the
 	// sender, in milliseconds; negative if none failed since the last success.
 	StoreFailureAge clock.Milli
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/replica.go
@@ -57,6 +57,10 @@
 	floors [Topics]schema.Version
 	// retention is the retention time of removals.
 	retention clock.Milli
+	// sums holds the sums of the topics' objects, computed again where summed is
+	// not set.
+	sums   [Topics]Sum
+	summed [Topics]bool
 }
 
 // NewReplica returns an empty replica.
@@ -115,6 +119,7 @@
 	if u.Topic >= Topics || !u.Full && u.Since > r.revs[u.Topic] {
 		return c
 	}
+	r.summed[u.Topic] = false
 	switch u.Topic {
 	case Targets:
 		r.applyTargets(now, u, &c)
