internal/standin/soak: changes under every reading of the store's protocol (red)

Change: the stand-in store gets readings (stale items beside the current revision, watches that pass what they don't tell, events newest first, revisions of one kind, removed objects as last written) and watches that hear nothing. The soak moves routes between pools, writes versions in quick succession, opens flows through each daemon directly, and checks the other halves of CONFIG: run with a pool that a version ended, refused though added, back to an older version within one process.

--- a/internal/standin/plat/plat.go
+++ b/internal/standin/plat/plat.go
@@ -88,7 +88,12 @@
 	historyStart schema.Version
 	// stale holds the last pages that requests for stale data received, by kind and
 	// name after which the page starts.
-	stale  map[key]stalePage
+	stale   map[key]stalePage
+	reading Reading
+	// past holds the past states of kinds for Reading.StaleBehind, the oldest first.
+	past map[string][]pastList
+	// hushed is set while watches hear nothing.
+	hushed bool
 	fault  Fault
 	reads  *rate.Limiter
 	writes *rate.Limiter
@@ -104,6 +109,7 @@
 		lastWrite:    make(map[key]time.Time),
 		lifetimes:    make(map[string]time.Duration),
 		stale:        make(map[key]stalePage),
+		past:         make(map[string][]pastList),
 		revision:     FirstRevision,
 		historyStart: FirstRevision,
 	}
@@ -229,7 +235,11 @@
 	k := key{kind, after}
 	p.mu.Lock()
 	s, ok := p.stale[k]
+	past := p.reading.StaleBehind > 0
 	p.mu.Unlock()
+	if past {
+		return p.pastPage(kind, after)
+	}
 	if ok && time.Since(s.at) < maxStaleness {
 		return s.list
 	}
@@ -244,9 +254,14 @@
 func (p *Platform) listAfter(kind, after string) platform.List {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := platform.List{Items: []json.RawMessage{}, StoreRevision: p.revision}
+	return pageOf(p.objects, p.revision, kind, after)
+}
+
+// pageOf returns the page of a kind's objects whose names follow a name.
+func pageOf(objects map[key]platform.Object, revision schema.Version, kind, after string) platform.List {
+	l := platform.List{Items: []json.RawMessage{}, StoreRevision: revision}
 	var names []string
-	for k := range p.objects {
+	for k := range objects {
 		if k.kind == kind && k.name > after {
 			names = append(names, k.name)
 		}
@@ -256,7 +271,7 @@
 		names, l.HasMore = names[:pageSize], true
 	}
 	for _, n := range names {
-		l.Items = append(l.Items, encode(p.objects[key{kind, n}]))
+		l.Items = append(l.Items, encode(objects[key{kind, n}]))
 	}
 	return l
 }
@@ -305,6 +320,7 @@
 			c.Events = append(c.Events, platform.Event{Deleted: h.deleted, Object: encode(h.object)})
 		}
 	}
+	p.applyReading(kind, rev, &c)
 	return c, true, p.changed
 }
 
@@ -431,6 +447,7 @@
 	if old, ok := p.objects[k]; ok && string(old.Spec) == string(o.Spec) {
 		return old // an unchanged object keeps its revision
 	}
+	p.keepPast(k.kind)
 	p.revision++
 	o.Meta.Rev = p.revision
 	p.objects[k] = o
@@ -444,10 +461,13 @@
 	if !ok {
 		return
 	}
+	p.keepPast(k.kind)
 	p.revision++
 	delete(p.objects, k)
 	delete(p.lastWrite, k)
-	o.Meta.Rev = p.revision
+	if !p.reading.RemovedAsWritten {
+		o.Meta.Rev = p.revision
+	}
 	p.record(change{key: k, rev: p.revision, deleted: true, object: o})
 }
 
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -111,47 +111,60 @@
 	})
 }
 
+// late reports whether a daemon acts later than a bound after a change. A bound
+// counts from the end of the last fault of the store or the daemon; while one is
+// active, or if the change is zero, no bound is exceeded.
+func (c *checker) late(d *daemon, change, now time.Time, bound time.Duration) bool {
+	if d == nil || change.IsZero() {
+		return false
+	}
+	healed, healthy := d.faults.ended()
+	at, storeHealthy := c.storeFaults.ended()
+	if at.After(healed) {
+		healed = at
+	}
+	return healthy && storeHealthy && now.Sub(change) > bound+boundTolerance && now.Sub(healed) > bound+boundTolerance
+}
+
 // checkOpen checks the first packet of a flow that a target received from a
 // daemon. The argument d is nil if the sender is not a daemon, r is nil if no
 // route has the address.
 func (c *checker) checkOpen(t *target, d *daemon, r *route, now time.Time) {
-	// Lock order: targets and routes before the checker.
-	var removed time.Time
+	// Lock order: targets, daemons and routes before the checker.
+	var ended tableChange
+	allowed, regressed := false, false
 	if r != nil {
-		removed = r.removalTime()
+		var began float64
+		ended, began, allowed = r.handling(t.pool)
+		if d != nil {
+			d.recordEffect(began, now)
+			regressed = ended.version != 0 && d.hadEffect(ended.version, now)
+		}
 	}
 	drain, out := t.drainingSince(), t.dataCentre.outSince()
-	// A bound counts from the end of the last fault of the store or the daemon;
-	// while one is active, no bound is checked.
-	var healed, at time.Time
-	healthy := d != nil
-	if healthy {
-		healed, healthy = d.faults.ended()
-	}
-	at, storeHealthy := c.storeFaults.ended()
-	if healthy = healthy && storeHealthy; at.After(healed) {
-		healed = at
-	}
+	lateDrain := c.late(d, drain, now, drainBound)
+	lateTable := c.late(d, ended.at, now, applyBound)
+	lateOut := c.late(d, out, now, outBound)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checks += 4
+	c.checks += 5
 	if r == nil {
 		c.recordViolation("wrong pool", t.id, "target %s of %s received a flow for an address without a route", t.id, t.pool)
 		return
 	}
-	if r.pool != t.pool {
+	if !allowed {
 		c.recordViolation("wrong pool", t.id, "target %s of %s received a flow of route %s", t.id, t.pool, r.name)
 	}
-	late := func(at time.Time, bound time.Duration) bool {
-		return healthy && !at.IsZero() && now.Sub(at) > bound+boundTolerance && now.Sub(healed) > bound+boundTolerance
-	}
-	if late(drain, drainBound) {
+	if lateDrain {
 		c.recordViolation("leaving target", t.id, "target %s, draining for %s, received a new flow through %s", t.id, now.Sub(drain), d.id)
 	}
-	if late(removed, applyBound) {
-		c.recordViolation("configuration", t.id, "route %s, removed %s ago, was used through %s", r.name, now.Sub(removed), d.id)
+	if lateTable {
+		c.recordViolation("configuration", t.id, "route %s was used with %s, which version %g had ended %s ago, through %s", r.name, t.pool, ended.version, now.Sub(ended.at), d.id)
+	}
+	if regressed {
+		c.recordViolation("configuration came back", t.id, "route %s was used with %s through %s, which had acted on version %g or later", r.name, t.pool, d.id, ended.version)
 	}
-	if late(out, outBound) {
+	if lateOut {
 		c.recordViolation("data centre out", t.id, "target %s in data centre %s, out for %s, received a new flow through %s", t.id, t.dataCentre.name, now.Sub(out), d.id)
 	}
 }
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -53,6 +53,10 @@
 	seq      uint32
 	ack      uint32
 	cookie   uint32
+	// via is the daemon that gets all packets of the flow; nil if the fabric chooses.
+	via *daemon
+	// refused is set if a daemon refused the flow.
+	refused bool
 }
 
 func newClient(s *System, n int, dc *dataCentre) (*client, error) {
@@ -114,9 +118,9 @@
 	}
 }
 
-// newFlow returns a flow on a new port, or with the addresses and ports of last
-// if that is not nil.
-func (c *client) newFlow(last *clientFlow) *clientFlow {
+// newFlow returns a flow to a route on a new port, or with the route, addresses and
+// ports of last if that is not nil.
+func (c *client) newFlow(r *route, last *clientFlow) *clientFlow {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := &clientFlow{system: c.sys, client: c, received: make(chan platform.ReceivedPacket, 64), seq: uint32(c.sys.rand())}
@@ -124,21 +128,24 @@
 		f.route, f.tuple = last.route, last.tuple
 	} else {
 		c.port++
-		f.route = c.sys.permanentRoute()
+		f.route = r
 		f.tuple = flow.Tuple{Client: c.addr.As4(), ClientPort: c.port, ServiceAddress: f.route.addr.Addr().As4(), ServicePort: f.route.addr.Port()}
 	}
 	c.flows[f.tuple] = f
 	return f
 }
 
+// forget drops the packets that still arrive for a flow.
+func (c *client) forget(f *clientFlow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.flows, f.tuple)
+}
+
 // session opens a flow, sends requests on it, closes it and returns it.
 func (c *client) session(last *clientFlow, stop <-chan struct{}) *clientFlow {
-	f := c.newFlow(last)
-	defer func() {
-		c.mu.Lock()
-		delete(c.flows, f.tuple)
-		c.mu.Unlock()
-	}()
+	f := c.newFlow(c.sys.permanentRoute(), last)
+	defer c.forget(f)
 	c.sys.checker.increment(&c.sys.checker.flows)
 	if !f.open() {
 		c.sys.checker.increment(&c.sys.checker.rejected)
@@ -187,7 +194,11 @@
 
 // forward sends a packet to the daemon that the fabric chooses.
 func (f *clientFlow) forward(packet []byte) {
-	if d := f.system.chooseDaemon(f.client.dataCentre, &f.tuple); d != nil {
+	d := f.via
+	if d == nil {
+		d = f.system.chooseDaemon(f.client.dataCentre, &f.tuple)
+	}
+	if d != nil {
 		_, _ = f.client.conn.WriteToUDPAddrPort(packet, d.dataAddr) // a failed write is a lost packet
 	}
 }
@@ -206,6 +217,7 @@
 			case p := <-f.received:
 				if p.Segment.Reset {
 					if p.FromDaemon && p.Segment.Seq == 0 { // otherwise it belongs to an earlier flow
+						f.refused = true
 						f.system.checker.recordRefused(openKey{f.tuple, f.seq})
 					}
 					return false
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"syscall"
 	"time"
 
@@ -121,19 +120,33 @@
 		return func() {}
 	}, 0},
 	{"route added and removed", func(s *System) func() {
-		s.mu.Lock()
-		n := len(s.routes)
-		r := &route{name: fmt.Sprintf("extra-%d", n), pool: "desk", addr: netip.MustParseAddrPort(fmt.Sprintf("198.18.0.2:%d", 9000+n))}
-		s.routes = append(s.routes, r)
-		s.mu.Unlock()
-		s.writeTable()
+		r := s.addRoute("desk")
+		return func() { s.removeRoute(r) }
+	}, 0},
+	{"route moved", func(s *System) func() {
+		r := s.addRoute("desk")
 		return func() {
-			r.mu.Lock()
-			r.removedAt = time.Now()
-			r.mu.Unlock()
-			s.writeTable()
+			s.moveRoute(r, "proof")
+			s.after(s.randomDelay(6000), func() { s.removeRoute(r) })
 		}
 	}, 0},
+	{"versions in quick succession", func(s *System) func() {
+		var added []*route
+		for range stormVersions {
+			added = append(added, s.addRoute("desk"))
+			time.Sleep(stormGap)
+		}
+		return func() {
+			for _, r := range added {
+				s.removeRoute(r)
+			}
+		}
+	}, 0},
+	{"watches hear nothing", func(s *System) func() {
+		done := s.checker.storeFaults.begin()
+		s.store.HushWatches(hushTime)
+		return done
+	}, hushTime},
 	{"data centre out", func(s *System) func() {
 		dc := s.dataCentres[s.rand()%dataCentreCount]
 		if !dc.outSince().IsZero() {
@@ -148,6 +161,15 @@
 	}, outBound + 4*time.Second},
 }
 
+// A storm writes stormVersions versions, one each stormGap.
+const (
+	stormVersions = 8
+	stormGap      = 60 * time.Millisecond
+)
+
+// hushTime is how long the store's watches hear nothing.
+const hushTime = time.Second
+
 // maxTargets bounds the targets that a soak test creates.
 const maxTargets = 200
 
--- /dev/null
+++ b/internal/standin/soak/reading_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/standin/plat"
+)
+
+// buildDaemon builds the daemon program and returns its path.
+func buildDaemon(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "coltsfootdock")
+	out, err := exec.Command("go", "build", "-o", program, "coltsfootdock/cmd/coltsfootdock").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
+
+// settleTime is how long a scenario is watched after its last change: the bounds of
+// all changes and of the daemons' restarts have passed by then.
+const settleTime = 10 * time.Second
+
+// killAll kills all daemons at once and starts them again.
+func killAll(s *System) {
+	var heals []func()
+	for _, d := range s.daemons {
+		heals = append(heals, d.faults.begin())
+		d.signal(syscall.SIGKILL)
+	}
+	for i, d := range s.daemons {
+		d.stop(syscall.SIGKILL)
+		s.restart(d)
+		heals[i]()
+	}
+}
+
+// changeEverything adds, moves and removes routes, drains a target and takes a data
+// centre out.
+func changeEverything(s *System) {
+	added, moved, removed := s.addRoute("desk"), s.recentRoute(), s.routes[permanentRoutes]
+	s.moveRoute(moved, "proof")
+	s.removeRoute(removed)
+	s.addRoute("desk")
+	s.moveRoute(added, "proof")
+	s.randomTarget().drainAndStop()
+	s.store.Put(outsKind, s.dataCentres[2].name, struct{}{})
+	s.dataCentres[2].setOut(time.Now())
+}
+
+// TestChangesAreInForceUnderEveryReading guards against daemons that hold an old
+// configuration, target list or evacuation for current (CONFIG, DRAIN, EVAC).
+func TestChangesAreInForceUnderEveryReading(t *testing.T) {
+	program := buildDaemon(t)
+	for slot, c := range []struct {
+		name    string
+		reading plat.Reading
+		change  func(s *System)
+	}{
+		{"old_items_beside_the_current_revision", plat.Reading{StaleBehind: 6 * time.Second, StaleItemsOnly: true}, func(s *System) {
+			changeEverything(s)
+			killAll(s)
+		}},
+		{"stale_lists", plat.Reading{StaleBehind: 6 * time.Second}, func(s *System) {
+			changeEverything(s)
+			killAll(s)
+		}},
+		{"watches_pass_what_they_do_not_tell", plat.Reading{HushedPassesChanges: true}, func(s *System) {
+			done := s.checker.storeFaults.begin()
+			s.store.HushWatches(hushTime)
+			changeEverything(s)
+			time.Sleep(hushTime)
+			done()
+		}},
+		{"events_newest_first", plat.Reading{NewestFirst: true}, func(s *System) {
+			for range stormVersions {
+				changeEverything(s)
+			}
+		}},
+		{"watches_know_their_kind_alone", plat.Reading{KindRevision: true}, changeEverything},
+		{"removed_objects_as_last_written", plat.Reading{RemovedAsWritten: true}, changeEverything},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, Options{
+				Daemon: program, Dir: t.TempDir(), Seed: 34, Daemons: 3, Targets: 12, Clients: 2, Slot: 30 + slot, Reading: c.reading,
+			}, c.change)
+		})
+	}
+}
+
+// runScenario starts a system without faults, makes changes and checks what targets
+// and clients see until settleTime after them.
+func runScenario(t *testing.T, opts Options, change func(s *System)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newSystem(ctx, opts)
+	defer func() {
+		cancel()
+		s.close()
+	}()
+	require.NoError(t, s.build())
+	stop := make(chan struct{})
+	s.wg.Go(func() { s.probeReadiness(stop) })
+	s.wg.Go(func() { s.writeHeartbeats(stop) })
+	time.Sleep(warmupTime)
+	s.addRoute("desk")
+	s.addRoute("desk")
+	time.Sleep(applyBound)
+	for _, c := range s.clients {
+		s.wg.Go(func() { c.run(stop) })
+		s.wg.Go(func() { s.openDirectly(c, stop) })
+	}
+	change(s)
+	time.Sleep(settleTime)
+	close(stop)
+	r := s.result()
+	require.Positive(t, r.Served)
+	for _, b := range r.Broken[:min(len(r.Broken), 5)] {
+		t.Logf("%s: %s: %s", b.At.Round(time.Millisecond), b.Promise, b.Detail)
+	}
+	require.Empty(t, r.Broken)
+}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -34,12 +34,16 @@
 	recoveryTime = 9 * time.Second
 )
 
+func newSystem(ctx context.Context, opts Options) *System {
+	return &System{
+		opts: opts, checker: newChecker(), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
+	}
+}
+
 // Run runs one soak test and ends every process that it started.
 func Run(ctx context.Context, opts Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &System{
-		opts: opts, checker: newChecker(), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
-	}
+	s := newSystem(ctx, opts)
 	defer func() {
 		cancel()
 		s.close()
@@ -57,6 +61,7 @@
 			s.wg.Go(func() { c.run(stop) })
 		}
 	}
+	s.wg.Go(func() { s.openDirectly(s.clients[0], stop) })
 	s.injectFaults()
 	s.checker.mu.Lock()
 	s.checker.faultsEnded = time.Now()
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -13,11 +11,7 @@
 // TestSoak runs a short soak test with real processes. The seed determines the
 // injected faults. Seeds that have found a defect stay in the list.
 func TestSoak(t *testing.T) {
-	dir := t.TempDir()
-	program := filepath.Join(dir, "coltsfootdock")
-	build := exec.Command("go", "build", "-o", program, "coltsfootdock/cmd/coltsfootdock")
-	out, err := build.CombinedOutput()
-	require.NoError(t, err, string(out))
+	dir, program := t.TempDir(), buildDaemon(t)
 	for _, seed := range []uint64{7} {
 		r, err := Run(t.Context(), Options{
 			Daemon: program, Dir: dir, Seed: seed, For: 12 * time.Second, Daemons: 6, Targets: 12, Clients: 12, Slot: 40,
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -71,6 +71,8 @@
 	// Slot selects the address range, so that soak tests can run concurrently: 0
 	// to 40.
 	Slot int
+	// Reading is what the store does where its protocol leaves it open.
+	Reading plat.Reading
 }
 
 // Roles of hosts, part of their addresses.
@@ -86,25 +88,6 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + roles*o.Slot + role), byte(n / 250), byte(n%250 + 1)})
 }
 
-// route is a service address.
-type route struct {
-	name          string
-	addr          netip.AddrPort
-	pool          string
-	nonIdempotent bool
-	mu            sync.Mutex
-	// removedAt is zero while the route is configured.
-	removedAt time.Time
-}
-
-func (r *route) removalTime() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.removedAt
-}
-
-func (r *route) isRemoved() bool { return !r.removalTime().IsZero() }
-
 // daemon is a daemon process.
 type daemon struct {
 	id         string
@@ -124,7 +107,10 @@
 	missedProbes int
 	// packetLoss is the probability that a packet to the daemon is lost.
 	packetLoss float64
-	log        *os.File
+	// effects are the versions of the configuration whose effects targets saw
+	// through the current process.
+	effects []effect
+	log     *os.File
 }
 
 // storeMode is how a store proxy handles calls.
@@ -181,6 +167,9 @@
 	// heartbeatsBlocked is set while the store is unavailable, so that targets
 	// write no heartbeats.
 	heartbeatsBlocked atomic.Bool
+	// tableMu is held while the configuration is written, so that its versions
+	// follow each other in the store.
+	tableMu sync.Mutex
 	// packetDisorder is set while the fabric duplicates, delays and reorders
 	// packets, targets repeat answers late, and clients reuse ports immediately.
 	packetDisorder atomic.Bool
@@ -243,20 +232,6 @@
 	return nil
 }
 
-func (s *System) routeAt(a netip.AddrPort) *route {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.routes {
-		if r.addr == a {
-			return r
-		}
-	}
-	return nil
-}
-
-// permanentRoute returns a random one of the routes that are never removed.
-func (s *System) permanentRoute() *route { return s.routes[s.rand()%permanentRoutes] }
-
 // chooseDaemon returns the daemon to which the fabric sends a packet, or nil if
 // the packet is lost. It selects by the flow's hash among the data centre's daemons
 // in rotation, or among all of its daemons if fewer than half are in rotation.
@@ -295,6 +270,7 @@
 		s.dataCentres = append(s.dataCentres, &dataCentre{name: fmt.Sprintf("dc-%c", 'a'+i)})
 	}
 	s.store = plat.New()
+	s.store.SetReading(s.opts.Reading)
 	s.store.Expire(targetsKind, 3*heartbeatInterval)
 	for i, r := range []struct {
 		name, pool    string
@@ -302,7 +278,7 @@
 	}{{"edit", "desk", true}, {"watch", "desk", false}, {"sheet", "proof", false}} {
 		s.routes = append(s.routes, &route{name: r.name, pool: r.pool, nonIdempotent: r.nonIdempotent, addr: netip.MustParseAddrPort(fmt.Sprintf("198.18.0.1:%d", 8000+i))})
 	}
-	s.writeTable()
+	s.writeTable(nil, nil, nil)
 	for i := range s.opts.Targets {
 		if err := s.addTarget(i); err != nil {
 			return err
@@ -345,22 +321,6 @@
 	return nil
 }
 
-// writeTable writes the configuration to the store as an operator does.
-func (s *System) writeTable() {
-	s.mu.Lock()
-	s.version++
-	table := platform.TableSpec{Version: s.version}
-	for _, r := range s.routes {
-		if !r.isRemoved() {
-			port := fmt.Sprint(r.addr.Port())
-			table.Routes = append(table.Routes, platform.NewRouteSpec(r.name, r.addr.Addr().String(), port, r.pool, !r.nonIdempotent))
-		}
-	}
-	table.Services = []platform.ServiceSpec{{Name: "desk", MaxConns: 2000}, {Name: "proof", MaxConns: 2000}}
-	s.mu.Unlock()
-	s.store.Put(configKind, "main", table)
-}
-
 func (s *System) addDaemon(n int) error {
 	host := s.opts.host(roleDaemon, n)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -431,7 +391,7 @@
 	}
 	exited := make(chan struct{})
 	d.mu.Lock()
-	d.cmd, d.exited = cmd, exited
+	d.cmd, d.exited, d.effects = cmd, exited, nil
 	d.mu.Unlock()
 	s.wg.Go(func() {
 		_ = cmd.Wait() // faults end the process with a signal, so the status says nothing
