internal/coordination/watch: a stale list proves nothing

Seen by callers: after a change all daemons are killed and started. From then on they refuse routes that the change added and send flows by routes, to targets and into data centres that it took away, all of them, until the next change of the same topic.

Cause: a daemon that starts without a peer lists with serializable=1 and took the storeRevision beside the items as the revision up to which it is complete. Nothing read the difference again, and peers at the same revision confirmed each other. An object learned late was even refused, as the replica counted itself complete past its revision.

The replica takes objects of any revision from an update that is not older than itself.

TestStaleListConfirmsNothing expected a watch after the stale lists to be enough for the targets, which is this fault; it now expects a current list there and checks the rest as before.

--- /dev/null
+++ b/internal/coordination/watch/check_test.go
@@ -0,0 +1,85 @@
+package watch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+// object is a model object of a topic: the revision of its last write.
+type object = schema.Version
+
+// modelStore is a store with one object for each topic. Its watches hear nothing
+// until hushedUntil, and its stale lists hold the objects of staleObjects.
+type modelStore struct {
+	rev          schema.Version
+	objects      [fleet.Topics]object
+	staleObjects [fleet.Topics]object
+	hushedUntil  clock.Milli
+	// keepsRevision makes watches that hear nothing answer with the revision asked
+	// for; otherwise it is the current one.
+	keepsRevision bool
+	// dropped is the revision before which the history was dropped.
+	dropped schema.Version
+}
+
+// modelReader is a reader with the objects that its daemon holds.
+type modelReader struct {
+	*Reader
+	objects [fleet.Topics]object
+	calls   int
+}
+
+// call makes the call that the reader wants now, if any.
+func (r *modelReader) call(now clock.Milli, s *modelStore) {
+	c, ok := r.Next(now)
+	if !ok {
+		return
+	}
+	r.calls++
+	rev := s.rev
+	switch {
+	case c.List && c.Stale:
+		r.objects[c.Topic] = max(r.objects[c.Topic], s.staleObjects[c.Topic])
+	case c.List:
+		r.objects[c.Topic] = s.objects[c.Topic]
+	case c.Since < s.dropped:
+		r.Done(now, now, c, HistoryLost, 0)
+		return
+	case now < s.hushedUntil:
+		if s.keepsRevision {
+			rev = c.Since
+		}
+	case s.objects[c.Topic] > c.Since:
+		r.objects[c.Topic] = s.objects[c.Topic]
+	}
+	r.Done(now, now, c, Read, rev)
+}
+
+// run lets the reader call for a time. Each call is answered at once.
+func (r *modelReader) run(now *clock.Milli, d clock.Milli, s *modelStore) {
+	for end := *now + d; *now < end; *now += step {
+		r.call(*now, s)
+	}
+}
+
+// newModelReader returns the reader of a daemon without peers.
+func newModelReader() *modelReader { return &modelReader{Reader: New(bound, 0)} }
+
+// TestStaleListIsNoProof guards against a daemon that takes the old objects of its
+// first lists for current, as the revision beside them is (CONFIG after a restart).
+func TestStaleListIsNoProof(t *testing.T) {
+	s := &modelStore{rev: 20, objects: [fleet.Topics]object{18, 19, 20}, staleObjects: [fleet.Topics]object{5, 6, 7}}
+	r, now := newModelReader(), start
+	r.run(&now, confirmWait, s)
+	require.Equal(t, s.staleObjects, r.objects)
+	for topic := range fleet.Topics {
+		require.False(t, r.Fresh(now, topic), "%s", topic)
+	}
+	r.run(&now, bound-confirmWait, s)
+	require.Equal(t, s.objects, r.objects)
+}
--- a/internal/coordination/watch/peers.go
+++ b/internal/coordination/watch/peers.go
@@ -48,12 +48,14 @@
 	// Confirmed are the times at which the revisions were confirmed, Never if they
 	// were not.
 	Confirmed [fleet.Topics]clock.Milli
+	// Grounded is set for the topics that rest on a current list of the store.
+	Grounded [fleet.Topics]bool
 }
 
-// Differs reports whether two views hold other objects of a topic although they are
-// complete up to the same revision: one of them is wrong.
+// Differs reports whether two grounded views hold other objects of a topic although
+// they are complete up to the same revision: one of them is wrong.
 func (v *View) Differs(other *View, t fleet.Topic) bool {
-	return v.Revs[t] == other.Revs[t] && v.Sums[t] != other.Sums[t]
+	return v.Grounded[t] && other.Grounded[t] && v.Revs[t] == other.Revs[t] && v.Sums[t] != other.Sums[t]
 }
 
 // PeerSet is a daemon's set of known peers. It is not safe for concurrent use.
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -13,8 +13,14 @@
 // The store has one revision counter for all topics, so the answer to a read of one
 // topic confirms every topic whose replica has reached the revision in the answer.
 //
-// Invariant: the age of a topic is never less than the time since the confirming
-// read began.
+// A revision is a claim, not a proof: a stale list may state one without the changes
+// before it. Only a current list shows what the store holds.
+//
+// Invariants:
+//   - The age of a topic is never less than the time since the confirming read
+//     began.
+//   - A topic is confirmed only if its replica is grounded: it rests on a current
+//     list, of this daemon or of a peer.
 package watch
 
 import (
@@ -71,7 +77,7 @@
 	Topic fleet.Topic
 	// List asks for all objects; with Stale, the answer may be some seconds old.
 	// Otherwise the call asks for the changes since the revision Since and waits
-	// up to Wait for one.
+	// up to Wait for one. Only a list that is not stale shows what the store holds.
 	List  bool
 	Stale bool
 	Since schema.Version
@@ -100,6 +106,8 @@
 	revs      [fleet.Topics]schema.Version
 	confirmed [fleet.Topics]clock.Milli
 	relist    [fleet.Topics]bool
+	// grounded is set once the replica of a topic rests on a current list.
+	grounded [fleet.Topics]bool
 	// newestRev is the highest known revision of the store.
 	newestRev schema.Version
 	// peerRevs are the highest revisions of the topics at the peers. behindSince
@@ -164,6 +172,9 @@
 // one.
 func (r *Reader) SetRank(n int, alone bool) { r.rank, r.alone = n, alone }
 
+// Grounded reports whether the replica of a topic rests on a current list.
+func (r *Reader) Grounded(t fleet.Topic) bool { return r.grounded[t] }
+
 // Age returns the time since a topic was confirmed.
 func (r *Reader) Age(now clock.Milli, t fleet.Topic) clock.Milli { return now - r.confirmed[t] }
 
@@ -220,8 +231,11 @@
 	if r.OldestAge(now) < r.takeoverAge() || r.awaitsConfirmation(now) {
 		return Call{}, false
 	}
-	for t := fleet.Topic(0); t < fleet.Topics; t++ {
-		if t != fleet.Targets && r.revs[t] < r.newestRev {
+	for t := range fleet.Topics {
+		switch {
+		case !r.grounded[t]:
+			return Call{Topic: t, List: true}, true
+		case t != fleet.Targets && r.revs[t] < r.newestRev:
 			return Call{Topic: t, Since: r.revs[t], Wait: immediateWait}, true
 		}
 	}
@@ -269,13 +283,13 @@
 	r.newestRev = max(r.newestRev, rev)
 	if c.Stale {
 		r.listedAt = now
-		r.Advance(c.Topic, rev, clock.Never)
+		r.advance(c.Topic, rev)
 		return
 	}
 	if c.List {
-		r.relist[c.Topic] = false
+		r.relist[c.Topic], r.grounded[c.Topic] = false, true
 	}
-	r.Advance(c.Topic, rev, began)
+	r.advance(c.Topic, rev)
 	for t := range r.revs {
 		if r.revs[t] >= rev {
 			r.confirm(fleet.Topic(t), began)
@@ -283,8 +297,12 @@
 	}
 }
 
-// confirm records that a topic was complete at the given time.
+// confirm records that a topic was complete at the given time, unless its replica is
+// not grounded.
 func (r *Reader) confirm(t fleet.Topic, at clock.Milli) {
+	if !r.grounded[t] {
+		return
+	}
 	if at-r.confirmed[t] > r.bound/announceDivisor {
 		r.announce = true
 	}
@@ -299,10 +317,22 @@
 	return n
 }
 
-// Advance records that the replica of a topic is complete up to a revision, as
-// confirmed by a read that began at the given time; Never if there was no such
-// read.
+// Advance records an update of a topic by a peer. The replica is now complete up to
+// a revision, as confirmed by a read that began at the given time; Never if there
+// was no such read.
 func (r *Reader) Advance(t fleet.Topic, rev schema.Version, began clock.Milli) {
+	if rev < r.revs[t] {
+		return
+	}
+	if began != clock.Never {
+		r.grounded[t] = true
+	}
+	r.advance(t, rev)
+	r.confirm(t, began)
+}
+
+// advance records that the replica of a topic is complete up to a revision.
+func (r *Reader) advance(t fleet.Topic, rev schema.Version) {
 	if rev < r.revs[t] {
 		return
 	}
@@ -313,12 +343,11 @@
 	if rev >= r.peerRevs[t] {
 		r.behindSince[t] = clock.Never
 	}
-	r.confirm(t, began)
 }
 
 // RecordPeerRevision records a peer's report that the newest revision of a topic
-// was rev at the time confirmed. It reports whether the peer has a higher
-// revision than this daemon. A confirmation after this daemon's last read shows
+// was rev at the time confirmed, as its grounded replica shows. It reports whether
+// the peer has a higher revision than this daemon. A confirmation after this daemon's last read shows
 // that the store answers, so it ends the longer back-off of the later ranks.
 func (r *Reader) RecordPeerRevision(now clock.Milli, t fleet.Topic, rev schema.Version, confirmed clock.Milli) bool {
 	if confirmed > r.lastDone {
@@ -333,6 +362,7 @@
 		return true
 	}
 	if rev == r.revs[t] {
+		r.grounded[t] = r.grounded[t] || confirmed != clock.Never
 		r.confirm(t, confirmed)
 	}
 	return false
@@ -340,9 +370,10 @@
 
 // NeedsSnapshot reports whether to ask a peer for a snapshot of a topic if it does not
 // have the changes: this daemon has been behind its peers for
-// snapshotRequestDelay, or the store has dropped the changes.
+// snapshotRequestDelay, the store has dropped the changes, or the replica is not
+// grounded, so that changes alone don't make it complete.
 func (r *Reader) NeedsSnapshot(now clock.Milli, t fleet.Topic) bool {
-	return r.relist[t] || r.behindSince[t] != clock.Never && now-r.behindSince[t] > snapshotRequestDelay
+	return !r.grounded[t] || r.relist[t] || r.behindSince[t] != clock.Never && now-r.behindSince[t] > snapshotRequestDelay
 }
 
 // InvalidateAges invalidates all ages after a pause of this process: messages
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -367,7 +367,7 @@
 	_, ok := r.Next(start + 100)
 	require.False(t, ok, "peers may still confirm the lists")
 	c, ok := r.Next(start + confirmWait)
-	require.True(t, ok && !c.List)
+	require.True(t, ok && c.List && !c.Stale, "only a current list shows what the store holds")
 	r.Done(start+400, start+confirmWait, c, Read, 12)
 	require.True(t, r.Fresh(start+400, fleet.Targets))
 	require.False(t, r.Fresh(start+400, fleet.Config), "the store has changed since it was listed")
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -108,7 +108,9 @@
 	}
 	for t := range s.Topics {
 		topic := fleet.Topic(t)
-		s.Topics[t] = digest.TopicState{Rev: d.core.Replica().Rev(topic), Age: wireAge(d.reader.Age(now, topic)), Sum: d.core.Replica().Sum(topic)}
+		s.Topics[t] = digest.TopicState{
+			Rev: d.core.Replica().Rev(topic), Age: wireAge(d.reader.Age(now, topic)), Sum: d.core.Replica().Sum(topic), Grounded: d.reader.Grounded(topic),
+		}
 	}
 	s.ConfigVersion, _ = d.configVersion()
 	if d.storeFailedAt != clock.Never {
@@ -171,12 +173,19 @@
 	}
 	d.core.ApplyPeerLoads(now, s.ID, s.DataCentre, s.Loads, s.MissesOnly)
 	d.core.ApplyDeadTargets(now, s.DeadTargets)
-	view := viewOf(now, s)
-	d.membership.RecordView(from, view)
+	own, theirs := d.view(now), viewOf(now, s)
+	d.membership.RecordView(from, theirs)
 	behind := false
 	for t := range fleet.Topics {
-		d.noteDifference(s.ID, &view, t)
-		behind = d.reader.RecordPeerRevision(now, t, view.Revs[t], view.Confirmed[t]) || behind
+		d.noteDifference(s.ID, &own, &theirs, t)
+		switch {
+		case theirs.Grounded[t] && !own.Grounded[t] && own.Sums[t] != theirs.Sums[t]:
+			behind = true
+		case theirs.Grounded[t]:
+			behind = d.reader.RecordPeerRevision(now, t, theirs.Revs[t], theirs.Confirmed[t]) || behind
+		case own.Revs[t] == 0 && theirs.Revs[t] != 0:
+			behind = true // better than nothing
+		}
 	}
 	// A new daemon pulls from a peer even if its revisions are current, because
 	// the removed targets are known only to peers, not to the store.
@@ -208,6 +217,11 @@
 func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
 	d.mu.Lock()
 	revs := d.core.Replica().Revs()
+	for t := range fleet.Topics {
+		if !d.reader.Grounded(t) {
+			revs[t] = 0 // changes alone would not make the replica complete
+		}
+	}
 	removed := !d.removalsPulled
 	full := d.reader.NeedsSnapshot(d.clock.Now(), fleet.Targets)
 	d.mu.Unlock()
@@ -247,6 +261,9 @@
 	now := d.clock.Now()
 	for i := range n.Updates {
 		u := &n.Updates[i]
+		if n.Ages[i] < 0 && u.Since == 0 {
+			u.Full = false // what it does not list may exist
+		}
 		d.apply(now, u, from.String())
 		d.removalsPulled = d.removalsPulled || u.Topic == fleet.Targets && removed
 		if u.Rev <= d.core.Replica().Rev(u.Topic) && n.Ages[i] >= 0 {
@@ -304,6 +321,8 @@
 		topic := fleet.Topic(t)
 		replica := d.core.Replica()
 		switch {
+		case since[t] != 0 && !d.reader.Grounded(topic):
+			continue // the requester may know more
 		case removed && topic == fleet.Targets && since[t] != 0 && replica.Rev(topic) != 0:
 			n.Updates = append(n.Updates, replica.SinceWithRemovals(now, since[t]))
 		case replica.Rev(topic) <= since[t], since[t] != 0 && !full && !replica.HasChangesSince(topic, since[t]) && replica.Len(topic) > maxUnaskedFull:
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -12,7 +12,7 @@
 func viewOf(now clock.Milli, s *digest.Summary) watch.View {
 	v := watch.View{ConfigVersion: s.ConfigVersion}
 	for t, x := range s.Topics {
-		v.Revs[t], v.Sums[t], v.Confirmed[t] = x.Rev, x.Sum, clock.Never
+		v.Revs[t], v.Sums[t], v.Grounded[t], v.Confirmed[t] = x.Rev, x.Sum, x.Grounded, clock.Never
 		if x.Age >= 0 {
 			v.Confirmed[t] = now - x.Age
 		}
@@ -21,17 +21,19 @@
 }
 
 // view returns the daemon's own view. The caller holds d.mu.
-func (d *Daemon) view() watch.View {
+func (d *Daemon) view(now clock.Milli) watch.View {
 	v := watch.View{Revs: d.core.Replica().Revs(), Sums: d.core.Replica().Sums()}
 	v.ConfigVersion, _ = d.configVersion()
+	for t := range fleet.Topics {
+		v.Grounded[t], v.Confirmed[t] = d.reader.Grounded(t), now-d.reader.Age(now, t)
+	}
 	return v
 }
 
 // noteDifference counts and logs that a peer holds other objects of a topic than
 // this daemon although both are complete up to the same revision. The caller holds
 // d.mu.
-func (d *Daemon) noteDifference(peer schema.VMID, theirs *watch.View, t fleet.Topic) {
-	own := d.view()
+func (d *Daemon) noteDifference(peer schema.VMID, own, theirs *watch.View, t fleet.Topic) {
 	if !own.Differs(theirs, t) {
 		return
 	}
@@ -44,7 +46,7 @@
 // holds d.mu.
 func (d *Daemon) fleetBelief(now clock.Milli) []PeerBelief {
 	var list []PeerBelief
-	own := d.view()
+	own := d.view(now)
 	d.membership.Views(now, func(p *watch.Peer, v *watch.View) {
 		b := PeerBelief{
 			ID: p.ID, DataCentre: p.DataCentre, Silence: now - p.Heard(),
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -40,6 +40,9 @@
 	Age clock.Milli
 	// Sum identifies the objects that the sender holds.
 	Sum fleet.Sum
+	// Grounded is set if these rest on a current list of the store. Otherwise the
+	// revision promises nothing.
+	Grounded bool
 }
 
 // Neighbour is another daemon that the sender has heard of.
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/replica.go
@@ -131,7 +131,7 @@
 	case Outs:
 		r.applyOuts(now, u, &c)
 	}
-	if u.Full && u.Rev > r.revs[u.Topic] {
+	if (u.Full || u.Since == 0) && u.Rev > r.revs[u.Topic] {
 		// A snapshot does not list all earlier removals, so this replica can't
 		// pass them on.
 		r.floors[u.Topic] = max(r.floors[u.Topic], u.Rev)
@@ -142,7 +142,7 @@
 
 func (r *Replica) applyTargets(now clock.Milli, u *Update, c *Change) {
 	for i := range u.Targets {
-		r.putTarget(now, &u.Targets[i], c)
+		r.putTarget(now, &u.Targets[i], u.Rev, c)
 	}
 	for _, g := range u.Gone {
 		r.removeTarget(now, schema.TargetID(g.Name), g.Rev, c)
@@ -162,10 +162,11 @@
 	}
 }
 
-func (r *Replica) putTarget(now clock.Milli, t *Target, c *Change) {
+// putTarget applies a target of an update that is complete up to the revision upTo.
+func (r *Replica) putTarget(now clock.Milli, t *Target, upTo schema.Version, c *Change) {
 	e := r.targets[t.ID]
-	if e == nil && t.Rev <= r.revs[Targets] {
-		return // the replica is complete past this revision, so the target was removed
+	if e == nil && t.Rev <= r.revs[Targets] && upTo < r.revs[Targets] {
+		return // a newer update did not have the target, so it was removed
 	}
 	if e == nil {
 		r.targets[t.ID] = &Entry{Target: *t, Rev: t.Rev, Since: now}
@@ -210,7 +211,7 @@
 func (r *Replica) applyOuts(now clock.Milli, u *Update, c *Change) {
 	set := func(dc schema.DataCentreID, rev schema.Version, out bool) {
 		m, ok := r.outs[dc]
-		if ok && rev < m.rev || !ok && (!out || rev <= r.revs[Outs]) {
+		if ok && rev < m.rev || !ok && (!out || rev <= r.revs[Outs] && u.Rev < r.revs[Outs]) {
 			return
 		}
 		if m.out != out {
--- a/internal/state/fleet/replica_test.go
+++ b/internal/state/fleet/replica_test.go
@@ -99,6 +99,23 @@
 	})
 }
 
+// TestChangeToldLateIsTaken guards against a target or an Out that is never learned
+// because the replica had passed its revision without it (DRAIN, EVAC).
+func TestChangeToldLateIsTaken(t *testing.T) {
+	r := NewReplica()
+	r.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5}}})
+	r.Apply(0, &Update{Topic: Outs, Full: true, Rev: 10})
+	r.Apply(1, &Update{Topic: Targets, Since: 10, Rev: 15})
+	r.Apply(1, &Update{Topic: Outs, Since: 10, Rev: 15})
+	r.Apply(2, &Update{Topic: Targets, Since: 10, Rev: 15, Targets: []Target{{ID: "y", Rev: 13}}})
+	r.Apply(2, &Update{Topic: Outs, Full: true, Rev: 15, Outs: []Out{{DataCentre: "a", Rev: 12}}})
+	require.NotNil(t, r.Entry("y"))
+	out, _ := r.Out("a")
+	require.True(t, out)
+	r.Apply(3, &Update{Topic: Targets, Since: 10, Rev: 14, Targets: []Target{{ID: "z", Rev: 12}}})
+	require.Nil(t, r.Entry("z"), "an older update")
+}
+
 func TestApplyIgnoresUpdateAfterGap(t *testing.T) {
 	r := NewReplica()
 	r.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10})
