internal/coordination/watch: what no watch tells is found by lists and second looks

Seen by callers: a change is acknowledged and never in force, at any daemon, until the next change of that topic: old routes run by the old pool, new ones refused, draining targets and data centres that are out get flows. Logs show no warning.

Cause: the reader took the revision in a watch's answer for proof that it had all changes before it. The reader passed the change, told peers the revision, and they confirmed it to each other.

Change: the configuration and the outs are listed, not watched: at once when the store's revision moves, at most once in a sixth of their bound, and in each half of it in any case. Changes of the targets are asked for a second time from the revision that was held before them, once watches must have heard of them (1.2 s); a history dropped meanwhile leads to a list. Bounds are kept for each topic, so that outs with 5 s don't cost the checks of 3 s.

The model's daemons have the bounds of the users' deployments (3, 3 and 5 s); all ages are still checked against the shortest.

--- a/internal/coordination/watch/check_test.go
+++ b/internal/coordination/watch/check_test.go
@@ -27,6 +27,11 @@
 	dropped schema.Version
 }
 
+func (s *modelStore) write(t fleet.Topic) {
+	s.rev++
+	s.objects[t] = s.rev
+}
+
 // modelReader is a reader with the objects that its daemon holds.
 type modelReader struct {
 	*Reader
@@ -83,3 +88,61 @@
 	r.run(&now, bound-confirmWait, s)
 	require.Equal(t, s.objects, r.objects)
 }
+
+// TestSilentWatchIsNoProof guards against a reader that passes a change because a
+// watch answered without it (CONFIG, DRAIN and EVAC at all daemons, for good).
+func TestSilentWatchIsNoProof(t *testing.T) {
+	for _, keepsRevision := range []bool{false, true} {
+		for _, offset := range []clock.Milli{0, 250, 500, 950} {
+			s := &modelStore{rev: 20, objects: [fleet.Topics]object{18, 19, 20}, keepsRevision: keepsRevision}
+			r, now := newModelReader(), start
+			r.run(&now, 5*clock.Second, s)
+			hushed := now
+			s.hushedUntil = now + clock.Second
+			r.run(&now, offset, s)
+			for topic := range fleet.Topics {
+				s.write(topic)
+			}
+			changed := now
+			r.run(&now, hushed+clock.Second-now, s)
+			s.dropped = s.rev
+			r.run(&now, changed+bound-now, s)
+			require.Equal(t, s.objects, r.objects, "keeps revision %t, changed after %d ms", keepsRevision, offset)
+		}
+	}
+}
+
+// TestWatchOfOneKindIsNoProof guards against a reader that never hears of changes of
+// the other topics, as watches answer with the last revision of their kind.
+func TestWatchOfOneKindIsNoProof(t *testing.T) {
+	s := &modelStore{rev: 20, objects: [fleet.Topics]object{18, 19, 20}, keepsRevision: true}
+	r, now := newModelReader(), start
+	r.run(&now, 5*clock.Second, s)
+	for range 10 {
+		s.hushedUntil = now + bound // no target changes
+		s.write(fleet.Config)
+		s.write(fleet.Outs)
+		r.run(&now, bound*3/4, s)
+		require.Equal(t, s.objects, r.objects)
+	}
+}
+
+// What checks cost while nothing changes: at most two calls in each half of the bound
+// beside the polls.
+func TestChecksCostLittle(t *testing.T) {
+	s := &modelStore{rev: 20, objects: [fleet.Topics]object{18, 19, 20}}
+	r, now := newModelReader(), start
+	r.run(&now, 5*clock.Second, s)
+	r.calls = 0
+	lists := 0
+	for end := now + 10*clock.Second; now < end; now += step {
+		if c, ok := r.Next(now); ok {
+			if c.List {
+				lists++
+			}
+			r.Done(now+c.Wait, now, c, Read, s.rev)
+			now += c.Wait
+		}
+	}
+	require.LessOrEqual(t, lists, 2*10*2/3+2)
+}
--- a/internal/coordination/watch/cluster_test.go
+++ b/internal/coordination/watch/cluster_test.go
@@ -12,7 +12,9 @@
 const (
 	start = 100 * clock.Second
 	bound = 3 * clock.Second
-	step  = 50 * clock.Milli(1)
+	// outBound is the bound of the outs in the model, as in the users' deployments.
+	outBound = 5 * clock.Second
+	step     = 50 * clock.Milli(1)
 )
 
 // store is a model of the platform's store.
@@ -81,6 +83,7 @@
 
 func (w *cluster) join(n int) *daemon {
 	d := &daemon{n: n, addr: addr(n), reader: New(bound, uint64(n*37)), peers: NewPeerSet(addr(n), dcOf(n), []netip.AddrPort{addr(0), addr(1)}, uint64(n))}
+	d.reader.SetBounds([fleet.Topics]clock.Milli{fleet.Targets: bound, fleet.Config: bound, fleet.Outs: outBound})
 	w.daemons = append(w.daemons, d)
 	w.byAddr[d.addr] = d
 	return d
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -13,8 +13,11 @@
 // The store has one revision counter for all topics, so the answer to a read of one
 // topic confirms every topic whose replica has reached the revision in the answer.
 //
-// A revision is a claim, not a proof: a stale list may state one without the changes
-// before it. Only a current list shows what the store holds.
+// A revision is a claim, not a proof: stale lists and watches may state one without
+// the changes before it. Only a current list shows what the store holds. So the
+// reader lists the configuration and the outs instead of watching them, again and
+// again, and asks for changes of the targets a second time once watches must have
+// heard of them.
 //
 // Invariants:
 //   - The age of a topic is never less than the time since the confirming read
@@ -31,9 +34,11 @@
 	"coltsfootdock/pkg/schema"
 )
 
-// Fractions of the tightest bound of the deployment.
+// Fractions of the bound of a topic.
 const (
-	longPollDivisor = 6 // a long poll lasts a sixth of the bound
+	// A long poll lasts 1/longPollDivisor of the tightest bound. A topic that is listed
+	// is not listed again for 1/longPollDivisor of its own.
+	longPollDivisor = 6
 	// A daemon of rank one reads at an age of takeoverFraction of the bound, and
 	// every further rank up to maxTakeoverRank takeoverStepFraction later.
 	takeoverFraction     = 0.43
@@ -99,8 +104,11 @@
 // Reader schedules the reads of one daemon and tracks its revisions and ages. It
 // is not safe for concurrent use.
 type Reader struct {
-	bound clock.Milli
-	rank  int
+	// bounds are the times within which changes of the topics must be in force,
+	// bound is the shortest of them.
+	bounds [fleet.Topics]clock.Milli
+	bound  clock.Milli
+	rank   int
 	// alone is set while this daemon knows no live peer.
 	alone     bool
 	revs      [fleet.Topics]schema.Version
@@ -108,6 +116,7 @@
 	relist    [fleet.Topics]bool
 	// grounded is set once the replica of a topic rests on a current list.
 	grounded [fleet.Topics]bool
+	checks   checks
 	// newestRev is the highest known revision of the store.
 	newestRev schema.Version
 	// peerRevs are the highest revisions of the topics at the peers. behindSince
@@ -136,10 +145,13 @@
 // New returns the reader of a daemon. The bound is the shortest time within which
 // a change must be in force; jitter should differ between daemons.
 func New(bound clock.Milli, jitter uint64) *Reader {
-	r := &Reader{bound: bound, alone: true, lastDone: clock.Never, listedAt: clock.Never, awaitSince: clock.Never, historyLostAt: clock.Never, jitter: clock.Milli(jitter % jitterRange)}
+	r := &Reader{alone: true, lastDone: clock.Never, listedAt: clock.Never, awaitSince: clock.Never, historyLostAt: clock.Never, jitter: clock.Milli(jitter % jitterRange)}
 	for t := range r.confirmed {
+		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
+		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
 	}
+	r.SetBounds(r.bounds)
 	return r
 }
 
@@ -165,8 +177,10 @@
 	return r.awaitSince != clock.Never && now-r.awaitSince < snapshotWait+r.jitterDelay()
 }
 
-// SetBound sets the tightest bound of the deployment.
-func (r *Reader) SetBound(bound clock.Milli) { r.bound = bound }
+// SetBounds sets the times within which changes of the topics must be in force.
+func (r *Reader) SetBounds(bounds [fleet.Topics]clock.Milli) {
+	r.bounds, r.bound = bounds, slices.Min(bounds[:])
+}
 
 // SetRank sets the daemon's rank among the live ones, and whether it is the only
 // one.
@@ -190,22 +204,34 @@
 // Fresh reports whether a topic's age is low enough to refuse clients on the basis
 // of it.
 func (r *Reader) Fresh(now clock.Milli, t fleet.Topic) bool {
-	return now-r.confirmed[t] <= r.bound*2/3
+	return now-r.confirmed[t] <= r.bounds[t]*2/3
+}
+
+// overdue reports whether an age is such that this daemon reads the store itself.
+func (r *Reader) overdue(now clock.Milli) bool {
+	for t := range fleet.Topics {
+		if r.Age(now, t) >= r.takeoverAge(t) {
+			return true
+		}
+	}
+	return false
 }
 
-// takeoverAge returns the age from which this daemon reads the store itself.
-func (r *Reader) takeoverAge() clock.Milli {
+// takeoverAge returns the age of a topic from which this daemon reads the store
+// itself.
+func (r *Reader) takeoverAge(t fleet.Topic) clock.Milli {
 	if r.rank == 0 {
 		return 0
 	}
-	first := float64(r.bound) * takeoverFraction
-	step := float64(r.bound) * takeoverStepFraction * float64(min(r.rank, maxTakeoverRank)-1)
-	return clock.Milli(first+step) + r.jitter
+	bound := float64(r.bounds[t])
+	step := bound * takeoverStepFraction * float64(min(r.rank, maxTakeoverRank)-1)
+	return clock.Milli(bound*takeoverFraction+step) + r.jitter
 }
 
 // Next returns the read to make now, if any. The caller must report its end to
 // Done.
 func (r *Reader) Next(now clock.Milli) (Call, bool) {
+	r.recordClaim(now)
 	if r.inFlight || now < r.lastDone+r.backoff {
 		return Call{}, false
 	}
@@ -228,17 +254,17 @@
 	if r.awaitSince != clock.Never && r.listedAt == clock.Never {
 		r.listedAt = now // peers have sent snapshots of all topics
 	}
-	if r.OldestAge(now) < r.takeoverAge() || r.awaitsConfirmation(now) {
+	if !r.overdue(now) || r.awaitsConfirmation(now) {
 		return Call{}, false
 	}
 	for t := range fleet.Topics {
-		switch {
-		case !r.grounded[t]:
+		if !r.grounded[t] || t != fleet.Targets && r.mayHaveChanged(now, t) {
 			return Call{Topic: t, List: true}, true
-		case t != fleet.Targets && r.revs[t] < r.newestRev:
-			return Call{Topic: t, Since: r.revs[t], Wait: immediateWait}, true
 		}
 	}
+	if t, ok := r.dueCheck(now); ok {
+		return Call{Topic: t, List: true}, true
+	}
 	if now-r.lastDone < minReadInterval {
 		return Call{}, false
 	}
@@ -246,7 +272,7 @@
 	if r.rank != 0 || r.confirmed[fleet.Targets] == clock.Never {
 		wait = immediateWait
 	}
-	return Call{Topic: fleet.Targets, Since: r.revs[fleet.Targets], Wait: wait}, true
+	return Call{Topic: fleet.Targets, Since: r.watchSince(now), Wait: wait}, true
 }
 
 // awaitsConfirmation reports whether a new daemon should still wait for peers to
@@ -290,6 +316,7 @@
 		r.relist[c.Topic], r.grounded[c.Topic] = false, true
 	}
 	r.advance(c.Topic, rev)
+	r.recordCheck(began, c)
 	for t := range r.revs {
 		if r.revs[t] >= rev {
 			r.confirm(fleet.Topic(t), began)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,6 +158,11 @@
 	return d, nil
 }
 
+// topicBounds returns the time within which a change of each topic must be in force.
+func topicBounds(b setup.Bounds) [fleet.Topics]clock.Milli {
+	return [fleet.Topics]clock.Milli{fleet.Targets: b.Drain, fleet.Config: b.Apply, fleet.Outs: b.Out}
+}
+
 // tightestBound returns the time within which every kind of update must be in
 // force.
 func tightestBound(b setup.Bounds) clock.Milli {
