internal/entry, watch: daemons at one revision compare what they hold

Seen by callers: the reader finds a change that its watch had not told, and acts on it; all other daemons keep the old view, as they had passed the revision by the reader's word.

Cause: "complete up to revision R" was passed on and confirmed by number alone. A peer at R asked for changes after R and never got what R should have held.

Change: a daemon takes no confirmation from a peer with another sum at the same revision. It pulls all that the peer holds, with removals, and merges it: of each object the highest revision counts, what one of them lacks is not removed. If that doesn't settle it within the topic's bound (and a jitter), it lists the topic itself.

Evidence: TestDaemonsAtOneRevisionMergeWhatTheyHold and TestLastingDifferenceIsSettledByTheStore, red before (with a stand-in for RecordDifference that does nothing).

--- a/internal/coordination/watch/check.go
+++ b/internal/coordination/watch/check.go
@@ -105,6 +105,7 @@
 	r.checks.afterList = c.List
 	if c.List {
 		r.checks.listed[c.Topic] = began
+		r.differences[c.Topic].since = began
 		r.checks.due[c.Topic] = began + r.checkInterval(c.Topic)
 	}
 	if c.Topic != fleet.Targets {
--- a/internal/coordination/watch/check_test.go
+++ b/internal/coordination/watch/check_test.go
@@ -146,3 +146,31 @@
 	}
 	require.LessOrEqual(t, lists, 2*10*2/3+2)
 }
+
+// TestLastingDifferenceIsSettledByTheStore guards against daemons that hold different
+// objects at one revision for good, as neither gets from the other what settles it.
+func TestLastingDifferenceIsSettledByTheStore(t *testing.T) {
+	r := New(bound, 0)
+	r.SetRank(3, false)
+	now := start
+	for topic := range fleet.Topics {
+		r.Advance(topic, 10, now)
+	}
+	require.True(t, r.RecordDifference(now, fleet.Targets), "pull from the peer")
+	require.False(t, r.RecordDifference(now+step, fleet.Targets), "a pull was just made")
+	for end := now + bound; now <= end; now += 250 {
+		r.RecordDifference(now, fleet.Targets)
+		for topic := range fleet.Topics {
+			r.Advance(topic, 10, now)
+		}
+	}
+	c, ok := r.Next(now)
+	require.True(t, ok)
+	require.Equal(t, Call{Topic: fleet.Targets, List: true}, c)
+	r.Done(now, now, c, Read, 10)
+	_, ok = r.Next(now + bound/4)
+	require.False(t, ok)
+	r.RecordDifference(now, fleet.Config)
+	_, ok = r.Next(now + bound/4)
+	require.False(t, ok, "peers may settle it yet")
+}
--- a/internal/coordination/watch/peers.go
+++ b/internal/coordination/watch/peers.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// ViewOf returns the view that a peer's last summary states, nil if the peer is not
+// known.
+func (ps *PeerSet) ViewOf(addr netip.AddrPort) *View {
+	if p := ps.peers[addr]; p != nil {
+		return &p.view
+	}
+	return nil
+}
+
 // Views calls f with each peer that sent a summary and is not known to be gone, in
 // the order of ranks.
 func (ps *PeerSet) Views(now clock.Milli, f func(p *Peer, v *View)) {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -117,6 +117,8 @@
 	// grounded is set once the replica of a topic rests on a current list.
 	grounded [fleet.Topics]bool
 	checks   checks
+	// differences are those from peers, by topic.
+	differences [fleet.Topics]difference
 	// newestRev is the highest known revision of the store.
 	newestRev schema.Version
 	// peerRevs are the highest revisions of the topics at the peers. behindSince
@@ -150,6 +152,7 @@
 		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
 		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
+		r.differences[t] = difference{clock.Never, clock.Never, clock.Never}
 	}
 	r.SetBounds(r.bounds)
 	return r
@@ -254,6 +257,9 @@
 	if r.awaitSince != clock.Never && r.listedAt == clock.Never {
 		r.listedAt = now // peers have sent snapshots of all topics
 	}
+	if t, ok := r.lastingDifference(now); ok {
+		return Call{Topic: t, List: true}, true
+	}
 	if !r.overdue(now) || r.awaitsConfirmation(now) {
 		return Call{}, false
 	}
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -177,8 +177,10 @@
 	d.membership.RecordView(from, theirs)
 	behind := false
 	for t := range fleet.Topics {
-		d.noteDifference(s.ID, &own, &theirs, t)
 		switch {
+		case own.Differs(&theirs, t):
+			d.logDifference(s.ID, &own, &theirs, t)
+			behind = d.reader.RecordDifference(now, t) || behind
 		case theirs.Grounded[t] && !own.Grounded[t] && own.Sums[t] != theirs.Sums[t]:
 			behind = true
 		case theirs.Grounded[t]:
@@ -217,8 +219,11 @@
 func (d *Daemon) pullFrom(ctx context.Context, client *http.Client, from netip.AddrPort) error {
 	d.mu.Lock()
 	revs := d.core.Replica().Revs()
+	own, theirs := d.view(d.clock.Now()), d.membership.ViewOf(from)
+	var merges [fleet.Topics]bool // the peer holds other objects: what both know counts
 	for t := range fleet.Topics {
-		if !d.reader.Grounded(t) {
+		merges[t] = theirs != nil && own.Differs(theirs, t)
+		if merges[t] || !d.reader.Grounded(t) {
 			revs[t] = 0 // changes alone would not make the replica complete
 		}
 	}
@@ -261,12 +266,12 @@
 	now := d.clock.Now()
 	for i := range n.Updates {
 		u := &n.Updates[i]
-		if n.Ages[i] < 0 && u.Since == 0 {
+		if u.Since == 0 && (n.Ages[i] < 0 || merges[u.Topic]) {
 			u.Full = false // what it does not list may exist
 		}
 		d.apply(now, u, from.String())
 		d.removalsPulled = d.removalsPulled || u.Topic == fleet.Targets && removed
-		if u.Rev <= d.core.Replica().Rev(u.Topic) && n.Ages[i] >= 0 {
+		if u.Rev <= d.core.Replica().Rev(u.Topic) && n.Ages[i] >= 0 && !merges[u.Topic] {
 			d.reader.Advance(u.Topic, u.Rev, began-n.Ages[i])
 		} else {
 			d.reader.Advance(u.Topic, u.Rev, clock.Never)
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -30,13 +30,9 @@
 	return v
 }
 
-// noteDifference counts and logs that a peer holds other objects of a topic than
-// this daemon although both are complete up to the same revision. The caller holds
-// d.mu.
-func (d *Daemon) noteDifference(peer schema.VMID, own, theirs *watch.View, t fleet.Topic) {
-	if !own.Differs(theirs, t) {
-		return
-	}
+// logDifference counts and logs that a peer holds other objects of a topic than this
+// daemon although both are complete up to the same revision. The caller holds d.mu.
+func (d *Daemon) logDifference(peer schema.VMID, own, theirs *watch.View, t fleet.Topic) {
 	d.metrics.viewsDiffer[t].Inc()
 	d.log.sampledf("views: topic=%s revision=%d differs from peer=%s: sum=%016x theirs=%016x version=%d theirs=%d",
 		t, own.Revs[t], peer, uint64(own.Sums[t]), uint64(theirs.Sums[t]), own.ConfigVersion, theirs.ConfigVersion)
--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/protocol/digest"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
@@ -63,3 +66,79 @@
 	f.daemon.log.close()
 	require.Contains(t, f.log.String(), "config: left out:")
 }
+
+// secondDaemon returns another daemon of the fixture's store.
+func (f *fixture) secondDaemon(t *testing.T) *fixture {
+	g := &fixture{store: f.store, log: &syncBuffer{}, cfg: f.cfg}
+	g.cfg.ID, g.cfg.Data, g.cfg.Ready, g.cfg.Peer = "vm-2", freeAddr(t), freeAddr(t), freeAddr(t)
+	d, err := g.newDaemon()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = d.Close() })
+	g.daemon = d
+	return g
+}
+
+// servePulls serves the daemon's pulls until it is closed.
+func (f *fixture) servePulls() {
+	go func() { _ = http.Serve(f.daemon.pullListener, f.daemon.pullHandler()) }() // ends when the daemon closes the listener
+}
+
+// hear passes a daemon's summary to this one and makes the pull that follows from it,
+// if any.
+func (f *fixture) hear(t *testing.T, from *fixture) {
+	d := from.daemon
+	d.mu.Lock()
+	s := d.buildSummary(d.clock.Now(), nil, false)
+	d.mu.Unlock()
+	f.daemon.handleSummary(d.cfg.Peer, s)
+	select {
+	case addr := <-f.daemon.pullQueue:
+		require.NoError(t, f.daemon.pullFrom(t.Context(), &http.Client{Timeout: pullTimeout}, addr))
+	default:
+	}
+}
+
+// TestDaemonsAtOneRevisionMergeWhatTheyHold guards against one false claim that
+// spreads: daemons that passed a change by a peer's word never got it (CONFIG, DRAIN
+// and EVAC at all daemons but one).
+func TestDaemonsAtOneRevisionMergeWhatTheyHold(t *testing.T) {
+	f := newFixture(t)
+	f.deploy()
+	g := f.secondDaemon(t)
+	for _, x := range []*fixture{f, g} {
+		x.servePulls()
+		x.readTopics(t, fleet.Targets, fleet.Config, fleet.Outs)
+	}
+	passed := f.daemon.core.Replica().Rev(fleet.Targets) + 5
+	for range 4 {
+		f.store.Put("other", "x", time.Now().UnixNano())
+	}
+	f.store.Put("servers", "i-01", platform.NewTargetSpec("desk", "127.0.0.1:9", "a", 2, true, 1))
+	f.store.Put("servers", "i-02", platform.NewTargetSpec("desk", "127.0.0.1:8", "a", 2, false, 1))
+	f.store.Put("config", "main", platform.TableSpec{Version: 2})
+	f.store.Put("evacuations", "z", struct{}{})
+	f.readTopics(t, fleet.Targets, fleet.Config, fleet.Outs)
+	now := g.daemon.clock.Now()
+	for topic := range fleet.Topics {
+		rev := f.daemon.core.Replica().Rev(topic)
+		require.Greater(t, rev, passed)
+		g.daemon.apply(now, &fleet.Update{Topic: topic, Since: 1, Rev: rev}, "a watch that told nothing")
+		g.daemon.reader.Advance(topic, rev, now-clock.Second)
+	}
+	g.daemon.reader.InvalidateAges()
+	before := g.daemon.reader.OldestAge(g.daemon.clock.Now())
+	g.hear(t, f)
+	require.Equal(t, f.daemon.core.Replica().Sums(), g.daemon.core.Replica().Sums())
+	require.True(t, g.daemon.core.Replica().Entry("i-01").Target.Draining)
+	require.GreaterOrEqual(t, g.daemon.reader.OldestAge(g.daemon.clock.Now()), before, "a daemon that holds other objects confirms nothing")
+	g.hear(t, f)
+	require.Less(t, g.daemon.reader.OldestAge(g.daemon.clock.Now()), before)
+	g.store.Drop("servers", "i-02")
+	g.readTopics(t, fleet.Targets)
+	f.daemon.apply(now, &fleet.Update{Topic: fleet.Targets, Since: 1, Rev: g.daemon.core.Replica().Rev(fleet.Targets)}, "a watch that told nothing")
+	f.daemon.reader.Advance(fleet.Targets, g.daemon.core.Replica().Rev(fleet.Targets), now)
+	g.hear(t, f)
+	require.True(t, g.daemon.core.Replica().Entry("i-02").Gone, "a peer that missed the removal brings nothing back")
+	f.hear(t, g)
+	require.True(t, f.daemon.core.Replica().Entry("i-02").Gone)
+}
