--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	// learnedFrom tells from whom the last change of each topic came: "store" or a
 	// peer's address.
 	learnedFrom [fleet.Topics]string
+	// configUnread is set while the store's configuration can't be decoded, so that
+	// the one in force is an older one.
+	configUnread bool
 	// seq is the sequence number of the last summary.
 	seq      uint64
 	lastTick clock.Milli
@@ -105,17 +108,20 @@
 	lastPacket clock.Milli
 	wasReady   bool
 
-	dataPlane       *edge.Plane
-	peerConn        *sock.UDP
-	readyListener   net.Listener
-	pullListener    net.Listener
-	metricsListener net.Listener
-	storeCalls      chan watch.Call
-	pullQueue       chan netip.AddrPort
-	probeQueue      chan steer.Probe
-	leave           chan struct{}
-	leaveOnce       sync.Once
-	store           *object.Client
+	// lastConfigErrors is what was left out of the configuration when it was last
+	// read. Only the reading goroutine uses it.
+	lastConfigErrors string
+	dataPlane        *edge.Plane
+	peerConn         *sock.UDP
+	readyListener    net.Listener
+	pullListener     net.Listener
+	metricsListener  net.Listener
+	storeCalls       chan watch.Call
+	pullQueue        chan netip.AddrPort
+	probeQueue       chan steer.Probe
+	leave            chan struct{}
+	leaveOnce        sync.Once
+	store            *object.Client
 }
 
 // New opens the sockets of a daemon. Call Serve to run it.
@@ -271,7 +277,7 @@
 // isFresh reports whether configuration and targets were confirmed recently
 // enough to refuse flows based on them.
 func (d *Daemon) isFresh(now clock.Milli) bool {
-	return d.reader.Fresh(now, fleet.Config) && d.reader.Fresh(now, fleet.Targets)
+	return !d.configUnread && d.reader.Fresh(now, fleet.Config) && d.reader.Fresh(now, fleet.Targets)
 }
 
 // execute executes the verdict on a packet. The caller holds d.mu.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -88,6 +88,12 @@
 			return float64(d.reader.Age(now, t)) / float64(clock.Second)
 		})
 	}
+	gauge("coltsfootdock_config_unread", func(clock.Milli) float64 {
+		if d.configUnread {
+			return 1
+		}
+		return 0
+	})
 	gauge("coltsfootdock_config_version", func(clock.Milli) float64 {
 		version, _ := d.configVersion()
 		return float64(version)
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -78,18 +79,32 @@
 		u, err = d.store.WatchTopic(ctx, c.Topic, c.Since, c.Wait)
 	}
 	d.logBadObjects(c.Topic, u.Errors)
+	if c.Topic == fleet.Config && err == nil {
+		d.noteConfig(&u)
+	}
 	return &u.Update, err
 }
 
+// noteConfig records whether the store's configuration could be decoded.
+func (d *Daemon) noteConfig(u *object.TopicUpdate) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configUnread = len(u.Errors) > 0 && u.Update.Table == nil
+}
+
 // logBadObjects logs and counts the objects that could not be decoded. Those of the
-// configuration are never sampled out.
+// configuration are never sampled out, but logged once if they are read again.
 func (d *Daemon) logBadObjects(t fleet.Topic, errs []error) {
-	for _, err := range errs {
-		d.metrics.badObjects.Inc()
-		if t == fleet.Config {
-			d.log.infof("config: left out: %s", err)
-			continue
+	d.metrics.badObjects.Add(len(errs))
+	if t == fleet.Config {
+		text := fmt.Sprint(errs)
+		if len(errs) > 0 && text != d.lastConfigErrors {
+			d.log.infof("config: left out: %s", text)
 		}
+		d.lastConfigErrors = text
+		return
+	}
+	for _, err := range errs {
 		d.log.sampledf("store: object left out: %s", err)
 	}
 }
--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,9 +63,13 @@
 		f.daemon.log.sampledf("line")
 	}
 	f.store.Put("config", "main", "no table")
-	f.readTopics(t, fleet.Config)
+	f.readTopics(t, fleet.Targets, fleet.Config, fleet.Config, fleet.Outs)
+	require.False(t, f.daemon.isFresh(f.daemon.clock.Now()), "no flow is refused by an older version")
+	f.deploy()
+	f.readTopics(t, fleet.Targets, fleet.Config, fleet.Outs)
+	require.True(t, f.daemon.isFresh(f.daemon.clock.Now()))
 	f.daemon.log.close()
-	require.Contains(t, f.log.String(), "config: left out:")
+	require.Equal(t, 1, strings.Count(f.log.String(), "config: left out:"))
 }
 
 // secondDaemon returns another daemon of the fixture's store.
