internal/coordination/watch: a store that answers late is read with more time

Cause: each call had the same time limit of 700 ms, whatever the calls before showed.

Change: a call that runs into its limit doubles that of the next one, up to half of the bound; a call that is answered sets it to twice what it took, at least 700 ms.

Evidence: TestSlowStoreIsStillRead: with the limit held at 700 ms red at 720 ms, green at 20, 364, 720 and 1,100 ms; limits are short again once the store is fast.

--- a/internal/coordination/watch/check_test.go
+++ b/internal/coordination/watch/check_test.go
@@ -166,7 +166,7 @@
 	}
 	c, ok := r.Next(now)
 	require.True(t, ok)
-	require.Equal(t, Call{Topic: fleet.Targets, List: true}, c)
+	require.Equal(t, Call{Topic: fleet.Targets, List: true, Timeout: minTimeout}, c)
 	r.Done(now, now, c, Read, 10)
 	_, ok = r.Next(now + bound/4)
 	require.False(t, ok)
@@ -174,3 +174,41 @@
 	_, ok = r.Next(now + bound/4)
 	require.False(t, ok, "peers may settle it yet")
 }
+
+// TestSlowStoreIsStillRead guards against a store whose answers take a little longer
+// than the time limit of a call, so that no daemon ever reads it again (CONFIG).
+func TestSlowStoreIsStillRead(t *testing.T) {
+	for _, latency := range []clock.Milli{20, 364, 720, 1100} {
+		s := &modelStore{rev: 20, objects: [fleet.Topics]object{18, 19, 20}}
+		r, now := newModelReader(), start
+		read := func(until clock.Milli) {
+			for ; now < until; now += step {
+				c, ok := r.Next(now)
+				if !ok {
+					continue
+				}
+				began := now
+				now += min(c.Wait+c.Timeout, c.Wait+latency)
+				if latency > c.Timeout {
+					r.Done(now, began, c, Failed, 0)
+					continue
+				}
+				if c.List {
+					r.objects[c.Topic] = s.objects[c.Topic]
+				}
+				r.Done(now, began, c, Read, s.rev)
+			}
+		}
+		read(now + 12*clock.Second)
+		s.write(fleet.Config)
+		read(now + bound + latency)
+		require.Equal(t, s.objects[fleet.Config], r.objects[fleet.Config], "answers after %d ms", latency)
+		latency = 20
+		read(now + 5*clock.Second)
+		c, ok := Call{}, false
+		for ; !ok; now += step {
+			c, ok = r.Next(now)
+		}
+		require.Equal(t, minTimeout, c.Timeout, "calls are short again")
+	}
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -48,6 +48,9 @@
 	// snapshot from a peer for 1/relistDivisor of the bound, and up to as much
 	// again by its jitter, before it lists the topic.
 	relistDivisor = 6
+	// A call takes at most 1/timeoutDivisor of the bound, if that is more than
+	// minTimeout.
+	timeoutDivisor = 2
 	// An age that shrinks by more than 1/announceDivisor of the bound is sent to
 	// peers at once.
 	announceDivisor = 8
@@ -56,6 +59,8 @@
 const (
 	// immediateWait is the wait of a read that the store should answer at once.
 	immediateWait = 1 * clock.Milli(1)
+	// minTimeout is the least time limit of a call.
+	minTimeout = 700 * clock.Milli(1)
 	// minReadInterval is the least time between two reads for changes.
 	minReadInterval = 150 * clock.Milli(1)
 	// confirmWait is how long a new daemon waits for peers to confirm its first
@@ -87,6 +92,8 @@
 	Stale bool
 	Since schema.Version
 	Wait  clock.Milli
+	// Timeout limits the call, in addition to Wait. For a list it limits each page.
+	Timeout clock.Milli
 }
 
 // Outcome is the result of a call.
@@ -132,6 +139,8 @@
 	listedAt clock.Milli
 	lastDone clock.Milli
 	backoff  clock.Milli
+	// timeout is that of the next call.
+	timeout clock.Milli
 	// announce is set if a revision or an age changed so that peers should get it
 	// soon.
 	announce bool
@@ -147,7 +156,7 @@
 // New returns the reader of a daemon. The bound is the shortest time within which
 // a change must be in force; jitter should differ between daemons.
 func New(bound clock.Milli, jitter uint64) *Reader {
-	r := &Reader{alone: true, lastDone: clock.Never, listedAt: clock.Never, awaitSince: clock.Never, historyLostAt: clock.Never, jitter: clock.Milli(jitter % jitterRange)}
+	r := &Reader{timeout: minTimeout, alone: true, lastDone: clock.Never, listedAt: clock.Never, awaitSince: clock.Never, historyLostAt: clock.Never, jitter: clock.Milli(jitter % jitterRange)}
 	for t := range r.confirmed {
 		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
@@ -239,6 +248,7 @@
 		return Call{}, false
 	}
 	c, ok := r.nextCall(now)
+	c.Timeout = r.timeout
 	r.inFlight = ok
 	return c, ok
 }
@@ -275,7 +285,7 @@
 		return Call{}, false
 	}
 	wait := r.bound / longPollDivisor
-	if r.rank != 0 || r.confirmed[fleet.Targets] == clock.Never {
+	if r.rank != 0 || r.confirmed[fleet.Targets] == clock.Never || r.backoff > 0 {
 		wait = immediateWait
 	}
 	return Call{Topic: fleet.Targets, Since: r.watchSince(now), Wait: wait}, true
@@ -299,6 +309,7 @@
 func (r *Reader) Done(now, began clock.Milli, c Call, o Outcome, rev schema.Version) {
 	r.inFlight = false
 	r.lastDone = now
+	r.adaptTimeout(now-began, c, o)
 	switch o {
 	case Failed:
 		// The back-off grows with rank, so that the first ranks notice the end
@@ -330,6 +341,17 @@
 	}
 }
 
+// adaptTimeout sets the next call's time limit after a call that took the given time.
+func (r *Reader) adaptTimeout(took clock.Milli, c Call, o Outcome) {
+	switch {
+	case o == Failed && c.Timeout > 0 && took >= c.Wait+c.Timeout:
+		r.timeout = 2 * r.timeout
+	case o == Read && c.Wait <= immediateWait:
+		r.timeout = 2 * took
+	}
+	r.timeout = max(minTimeout, min(r.timeout, r.bound/timeoutDivisor))
+}
+
 // confirm records that a topic was complete at the given time, unless its replica is
 // not grounded.
 func (r *Reader) confirm(t fleet.Topic, at clock.Milli) {
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -137,7 +137,7 @@
 	require.Equal(t, clock.Second, r.Age(now, fleet.Config), "the store has changed since the configuration was read")
 	c, ok := r.Next(now)
 	require.True(t, ok)
-	require.Equal(t, Call{Topic: fleet.Config, List: true}, c)
+	require.Equal(t, Call{Topic: fleet.Config, List: true, Timeout: minTimeout}, c)
 }
 
 func TestPauseInvalidatesAges(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,7 +145,7 @@
 		probeQueue:         make(chan steer.Probe, steer.MaxProbes),
 		leave:              make(chan struct{}),
 		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
-		store:              object.NewClient("http://"+cfg.Store.String(), object.WithTimeout(storeTimeout)),
+		store:              object.NewClient("http://" + cfg.Store.String()),
 	}
 	d.metrics = newInstruments(d)
 	d.log = newAsyncLog(log, string(cfg.ID), d.metrics)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -163,7 +163,7 @@
 	d := f.daemon
 	for _, topic := range topics {
 		began := d.clock.Now()
-		c := watch.Call{Topic: topic, List: true}
+		c := watch.Call{Topic: topic, List: true, Timeout: clock.Second}
 		u, err := d.read(t.Context(), c)
 		require.NoError(t, err)
 		d.mu.Lock()
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -15,10 +14,6 @@
 	"coltsfootdock/pkg/schema"
 )
 
-// storeTimeout limits a call to the store, in addition to the time that a long
-// poll waits for changes.
-const storeTimeout = 700 * time.Millisecond
-
 // runStoreReads makes the calls to the store that the reader requests.
 func (d *Daemon) runStoreReads(ctx context.Context) error {
 	d.mu.Lock()
@@ -73,10 +68,11 @@
 func (d *Daemon) read(ctx context.Context, c watch.Call) (*fleet.Update, error) {
 	var u object.TopicUpdate
 	var err error
+	store := d.store.Within(c.Timeout.Duration())
 	if c.List {
-		u, err = d.store.ListTopic(ctx, c.Topic, c.Stale)
+		u, err = store.ListTopic(ctx, c.Topic, c.Stale)
 	} else {
-		u, err = d.store.WatchTopic(ctx, c.Topic, c.Since, c.Wait)
+		u, err = store.WatchTopic(ctx, c.Topic, c.Since, c.Wait)
 	}
 	d.logBadObjects(c.Topic, u.Errors)
 	if c.Topic == fleet.Config && err == nil {
--- a/internal/protocol/object/client.go
+++ b/internal/protocol/object/client.go
@@ -69,6 +69,14 @@
 	return c
 }
 
+// Within returns a client that shares the connections of c and whose requests have
+// another timeout.
+func (c *Client) Within(d time.Duration) *Client {
+	x := *c
+	x.timeout = d
+	return &x
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
