internal/standin/soak: each seed runs under one reading of the store's protocol

TestChangesAreInForceUnderEveryReading takes the same list and has a seventh case with all readings but one at once.

--- a/cmd/standin/cmd/soak.go
+++ b/cmd/standin/cmd/soak.go
@@ -27,6 +27,7 @@
 	fs.IntVar(&opts.Targets, "targets", 12, "number of targets")
 	fs.IntVar(&opts.Clients, "clients", 24, "number of client hosts")
 	fs.IntVar(&opts.Slot, "slot", 0, "number from 0 to 40 that selects the address range; concurrent soaks need different ones")
+	fs.IntVar(&opts.Reading, "reading", -1, "index of the reading of the store's protocol; negative if the seed selects it")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "soak",
--- a/internal/standin/soak/reading_test.go
+++ b/internal/standin/soak/reading_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"coltsfootdock/internal/standin/plat"
 )
 
 // buildDaemon builds the daemon program and returns its path.
@@ -56,40 +54,40 @@
 // configuration, target list or evacuation for current (CONFIG, DRAIN, EVAC).
 func TestChangesAreInForceUnderEveryReading(t *testing.T) {
 	program := buildDaemon(t)
-	for slot, c := range []struct {
-		name    string
-		reading plat.Reading
-		change  func(s *System)
-	}{
-		{"old_items_beside_the_current_revision", plat.Reading{StaleBehind: 6 * time.Second, StaleItemsOnly: true}, func(s *System) {
-			changeEverything(s)
-			killAll(s)
-		}},
-		{"stale_lists", plat.Reading{StaleBehind: 6 * time.Second}, func(s *System) {
-			changeEverything(s)
-			killAll(s)
-		}},
-		{"watches_pass_what_they_do_not_tell", plat.Reading{HushedPassesChanges: true}, func(s *System) {
-			done := s.checker.storeFaults.begin()
-			s.store.HushWatches(hushTime)
+	changeAndKill := func(s *System) {
+		changeEverything(s)
+		killAll(s)
+	}
+	changeUnheard := func(s *System) {
+		done := s.checker.storeFaults.begin()
+		s.store.HushWatches(hushTime)
+		changeEverything(s)
+		time.Sleep(hushTime)
+		done()
+	}
+	changeInOneAnswer := func(s *System) {
+		for range stormVersions {
 			changeEverything(s)
-			time.Sleep(hushTime)
-			done()
-		}},
-		{"events_newest_first", plat.Reading{NewestFirst: true}, func(s *System) {
-			for range stormVersions {
-				changeEverything(s)
-			}
-		}},
-		{"watches_know_their_kind_alone", plat.Reading{KindRevision: true}, changeEverything},
-		{"removed_objects_as_last_written", plat.Reading{RemovedAsWritten: true}, changeEverything},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			runScenario(t, Options{
-				Daemon: program, Dir: t.TempDir(), Seed: 34, Daemons: 3, Targets: 12, Clients: 2, Slot: 30 + slot, Reading: c.reading,
-			}, c.change)
-		})
+		}
+	}
+	changes := map[string]func(s *System){
+		"old items beside the current revision": changeAndKill,
+		"stale lists":                           changeAndKill,
+		"watches pass what they do not tell":    changeUnheard,
+		"events newest first":                   changeInOneAnswer,
+		"watches know their kind alone":         changeEverything,
+		"removed objects as last written":       changeEverything,
+		"all at once":                           changeUnheard,
+	}
+	for i, x := range readings {
+		if change := changes[x.name]; change != nil {
+			t.Run(x.name, func(t *testing.T) {
+				t.Parallel()
+				runScenario(t, Options{
+					Daemon: program, Dir: t.TempDir(), Seed: 34, Daemons: 3, Targets: 12, Clients: 2, Slot: 30 + i, Reading: i,
+				}, change)
+			})
+		}
 	}
 }
 
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -15,6 +15,8 @@
 // Result is the outcome of a soak test.
 type Result struct {
 	Seed uint64
+	// Reading is what the store did where its protocol leaves it open.
+	Reading string
 	// Injected counts the injected faults by name.
 	Injected map[string]int
 	// Flows counts the flows that clients tried to open, Refused those of them that
@@ -35,6 +37,9 @@
 )
 
 func newSystem(ctx context.Context, opts Options) *System {
+	if opts.Reading < 0 || opts.Reading >= len(readings) {
+		opts.Reading = int(opts.Seed % uint64(len(readings)))
+	}
 	return &System{
 		opts: opts, checker: newChecker(), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
 	}
@@ -83,7 +88,7 @@
 		c.violations[i].Lines = s.logLinesAbout(c.violations[i].About)
 	}
 	return &Result{
-		Seed: s.opts.Seed, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
+		Seed: s.opts.Seed, Reading: readings[s.opts.Reading].name, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
 		Checks: c.checks, Broken: c.violations,
 	}
 }
@@ -141,6 +146,7 @@
 
 // Print writes the result as text.
 func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "store: %s\n", r.Reading)
 	fmt.Fprintf(w, "seed %d: %d flows, %d requests served, %d lost, %d flows refused, %d checks, %d broken\n",
 		r.Seed, r.Flows, r.Served, r.Lost, r.Refused, r.Checks, len(r.Broken))
 	for _, k := range faultKinds {
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -71,8 +71,9 @@
 	// Slot selects the address range, so that soak tests can run concurrently: 0
 	// to 40.
 	Slot int
-	// Reading is what the store does where its protocol leaves it open.
-	Reading plat.Reading
+	// Reading is the index in readings of what the store does where its protocol
+	// leaves it open; negative if the seed selects it.
+	Reading int
 }
 
 // Roles of hosts, part of their addresses.
@@ -270,7 +271,7 @@
 		s.dataCentres = append(s.dataCentres, &dataCentre{name: fmt.Sprintf("dc-%c", 'a'+i)})
 	}
 	s.store = plat.New()
-	s.store.SetReading(s.opts.Reading)
+	s.store.SetReading(readings[s.opts.Reading].reading)
 	s.store.Expire(targetsKind, 3*heartbeatInterval)
 	for i, r := range []struct {
 		name, pool    string
