--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -242,9 +243,10 @@
 // activeTargets returns the targets that do not drain.
 func (s *System) activeTargets() []*target {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	all := slices.Clone(s.targets)
+	s.mu.Unlock() // before the targets' locks are taken
 	var list []*target
-	for _, t := range s.targets {
+	for _, t := range all {
 		if t.drainingSince().IsZero() {
 			list = append(list, t)
 		}
