internal/coordination/steer: first packets without an answer condemn no target

Cause: a first packet that its client sent again counted as a confirmed miss like data without an acknowledgement, and three of these are the proof that a target answers nobody. Such a miss was also half of the proof by a silent probe.

Change: only data without an acknowledgement is confirmed and proves anything. First packets without an answer keep new flows away as before, and ask for a probe, whose refusal is a proof of its own.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -81,9 +81,9 @@
 // answerStats records whether a target answers, as seen in the packets that this
 // daemon forwards. The daemon sees only the clients' packets, so it infers
 // misses: a first packet without a second one, or a retransmission of data. A
-// target's TCP stack acknowledges both at once, however busy the target is. All
-// misses count for avoiding a target, only confirmed ones for resetting its
-// flows.
+// target's TCP stack acknowledges data at once, however busy the target is, and a
+// first packet unless the target is full. All misses count for avoiding a target,
+// only confirmed ones, of data, for resetting its flows.
 //
 // A target that does not answer is avoided for a backoff time, which doubles
 // with each failed trial, and then tried with one flow. One daemon, the target's
@@ -233,17 +233,23 @@
 // recordMiss records a miss of a flow whose client retransmitted a packet, once
 // until the flow makes progress. The miss is confirmed only if a packet that
 // this daemon forwarded at the time sent or later has been answered. Otherwise
-// the fault may be this daemon's own connection, and the miss stays unconfirmed.
+// the fault may be this daemon's own connection, and the miss stays unconfirmed. So
+// does that of a first packet: a target that holds as many flows as it can leaves
+// these without an answer.
 func (c *Core) recordMiss(now clock.Milli, r *flowRecord, sent clock.Milli) {
-	if c.latestAnsweredSend >= sent {
+	opening := r.openedAt != 0
+	mayBeConfirmed := c.latestAnsweredSend >= sent
+	if mayBeConfirmed && !opening {
 		r.missCounted, r.missConfirmed = true, true
 		r.target.answers.recordMiss(now, sent, true)
 		c.addSuspect(r.target)
-		c.requestProbe(r.target, now, true)
 	} else if !r.missCounted {
 		c.recordUnconfirmedMiss(now, r, sent)
 	}
-	if r.openedAt != 0 {
+	if mayBeConfirmed {
+		c.requestProbe(r.target, now, !opening)
+	}
+	if opening {
 		c.openMisses++
 	}
 	c.missesSinceAnswer++
