internal/standin/soak: a delayed first packet may arrive after the disorder ends

By its log each flow was refused by version 19, which had dropped its route; the client gave up; 2.1 s later a copy of the same first packet, delayed by the fabric's fault, reached a daemon that had just started with a stale list, and went to a target. The check allows this during the fault, which had ended while the copy, delayed by up to 2.5 s, was under way. No run took place, the flow never opened at its client.

Change: the check allows late copies until the longest delay after the fault's end; it is as strict otherwise.

--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -186,7 +186,7 @@
 		f.system.after(f.system.randomDelay(300), func() { f.forward(packet) })
 	case 1:
 		f.forward(packet)
-		f.system.after(f.system.randomDelay(2500), func() { f.forward(packet) })
+		f.system.after(f.system.randomDelay(uint64(maxPacketDelay.Milliseconds())), func() { f.forward(packet) })
 	default:
 		f.forward(packet)
 	}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -74,7 +74,10 @@
 	{"store resets a daemon's calls", storeProxyFault(storeResets), 0},
 	{"packets repeated and delayed", func(s *System) func() {
 		s.packetDisorder.Store(true)
-		return func() { s.packetDisorder.Store(false) }
+		return func() {
+			s.disorderEnded.Store(time.Now().UnixMilli())
+			s.packetDisorder.Store(false)
+		}
 	}, 0},
 	{"entries by another writer", func(s *System) func() {
 		for i, spec := range invalidTargetSpecs {
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -174,6 +174,8 @@
 	// packetDisorder is set while the fabric duplicates, delays and reorders
 	// packets, targets repeat answers late, and clients reuse ports immediately.
 	packetDisorder atomic.Bool
+	// disorderEnded is when that last ended, in Unix milliseconds.
+	disorderEnded atomic.Int64
 	injected       map[string]int
 	timers         sync.WaitGroup
 	ctx            context.Context
@@ -213,6 +215,14 @@
 	})
 }
 
+// maxPacketDelay is how long packets are delayed at most during packet disorder.
+const maxPacketDelay = 2500 * time.Millisecond
+
+// mayDeliverLate reports whether a packet that arrives now may be a delayed copy.
+func (s *System) mayDeliverLate() bool {
+	return s.packetDisorder.Load() || time.Since(time.UnixMilli(s.disorderEnded.Load())) <= maxPacketDelay+boundTolerance
+}
+
 func (s *System) daemonAt(a netip.Addr) *daemon {
 	for _, d := range s.daemons {
 		if d.host == a.Unmap() {
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -244,7 +244,7 @@
 			d, r := t.sys.daemonAt(from), t.sys.routeAt(s.Tuple.Service())
 			t.mu.Unlock()
 			t.sys.checker.checkOpen(t, d, r, time.Now())
-			t.sys.checker.recordTaken(t, openKey{s.Tuple, s.Seq}, t.sys.packetDisorder.Load())
+			t.sys.checker.recordTaken(t, openKey{s.Tuple, s.Seq}, t.sys.mayDeliverLate())
 			t.mu.Lock()
 		}
 		reply.Seq, reply.Ack = f.initialSeq, f.nextReceive
@@ -281,6 +281,6 @@
 	_, _ = t.conn.WriteToUDPAddrPort(packet, to)
 	if t.sys.packetDisorder.Load() && t.sys.rand()%5 == 0 {
 		packet = slices.Clone(packet)
-		t.sys.after(t.sys.randomDelay(2500), func() { _, _ = t.conn.WriteToUDPAddrPort(packet, to) })
+		t.sys.after(t.sys.randomDelay(uint64(maxPacketDelay.Milliseconds())), func() { _, _ = t.conn.WriteToUDPAddrPort(packet, to) })
 	}
 }
