platform, fleet: an entry is whole or it isn't used

Cause: missing fields became zeros that mean something; an entry that couldn't be read counted as removed.

What is known of its target stays: flows go on, and new flows go elsewhere until the entry can be read. A start counts as another only with a whole entry.

Not changed: a whole entry with a newer start resets the old start's flows at once, as the page says that the target then knows nothing of before.

--- a/internal/protocol/object/topic.go
+++ b/internal/protocol/object/topic.go
@@ -36,6 +36,7 @@
 			all.Update = p.Update
 		} else {
 			all.Update.Targets = append(all.Update.Targets, p.Update.Targets...)
+			all.Update.Unreadable = append(all.Update.Unreadable, p.Update.Unreadable...)
 			all.Update.Outs = append(all.Update.Outs, p.Update.Outs...)
 			all.Update.Rev = min(all.Update.Rev, p.Update.Rev)
 		}
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -176,9 +176,9 @@
 	packetDisorder atomic.Bool
 	// disorderEnded is when that last ended, in Unix milliseconds.
 	disorderEnded atomic.Int64
-	injected       map[string]int
-	timers         sync.WaitGroup
-	ctx            context.Context
+	injected      map[string]int
+	timers        sync.WaitGroup
+	ctx           context.Context
 }
 
 // rand returns a random number. It has its own lock because callers may hold a
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -12,7 +12,8 @@
 //     reverts it.
 //   - A removed target is retained, with the revision of its removal, for as
 //     long as packets of a flow may still refer to it.
-//   - Invalid objects are skipped one by one; they never empty a table.
+//   - Invalid objects are skipped one by one; they never empty a table. An entry
+//     that can't be read replaces nothing that is known of its target.
 package fleet
 
 import (
@@ -214,4 +215,7 @@
 	Table   *Table
 	Outs    []Out
 	Gone    []Removal
+	// Unreadable are the targets whose entries can't be read. What is known of them
+	// stays, but they take no new flows.
+	Unreadable []Removal
 }
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/replica.go
@@ -148,6 +148,9 @@
 		r.removeTarget(now, schema.TargetID(g.Name), g.Rev, c)
 		r.restoreRemoved(now, &g, c)
 	}
+	for _, g := range u.Unreadable {
+		r.suspendTarget(schema.TargetID(g.Name), g.Rev, c)
+	}
 	if !u.Full {
 		return
 	}
@@ -155,6 +158,9 @@
 	for i := range u.Targets {
 		listed[u.Targets[i].ID] = true
 	}
+	for _, g := range u.Unreadable {
+		listed[schema.TargetID(g.Name)] = true
+	}
 	for id, e := range r.targets {
 		if !listed[id] && e.Rev <= u.Rev {
 			r.removeTarget(now, id, max(e.Rev, u.Rev), c)
@@ -198,6 +204,17 @@
 	}
 }
 
+// suspendTarget ends new flows on a target whose entry can't be read. A target that
+// is not known stays so.
+func (r *Replica) suspendTarget(id schema.TargetID, rev schema.Version, c *Change) {
+	e := r.targets[id]
+	if e == nil || e.Gone || rev <= e.Rev {
+		return
+	}
+	e.Rev, e.Target.Rev, e.Target.Draining = rev, rev, true
+	c.addTarget(id)
+}
+
 // restoreRemoved adds the removed target that a peer sent, if this replica has no
 // entry of it.
 func (r *Replica) restoreRemoved(now clock.Milli, g *Removal, c *Change) {
--- a/internal/state/fleet/replica_test.go
+++ b/internal/state/fleet/replica_test.go
@@ -116,6 +116,30 @@
 	require.Nil(t, r.Entry("z"), "an older update")
 }
 
+// TestUnreadableEntryKeepsItsTarget guards against flows of a living target that are
+// reset because another writer replaced its entry (FLOW).
+func TestUnreadableEntryKeepsItsTarget(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		r := NewReplica()
+		r.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5, StartedAt: 7}}})
+		r.Apply(1, &Update{Topic: Targets, Full: full, Since: 10, Rev: 12, Unreadable: []Removal{{Name: "x", Rev: 11}, {Name: "y", Rev: 12}}})
+		e := r.Entry("x")
+		require.False(t, e.Gone)
+		require.Equal(t, int64(7), e.Target.StartedAt)
+		require.True(t, e.Target.Draining, "it takes no new flows")
+		require.Nil(t, r.Entry("y"))
+		peer := NewReplica()
+		peer.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10, Targets: []Target{{ID: "x", Rev: 5, StartedAt: 7}}})
+		u := r.Since(2, Targets, 10)
+		if !full {
+			peer.Apply(2, &u)
+			require.True(t, peer.Entry("x").Target.Draining)
+		}
+		r.Apply(3, &Update{Topic: Targets, Since: 12, Rev: 13, Targets: []Target{{ID: "x", Rev: 13, StartedAt: 7}}})
+		require.False(t, r.Entry("x").Target.Draining)
+	}
+}
+
 func TestApplyIgnoresUpdateAfterGap(t *testing.T) {
 	r := NewReplica()
 	r.Apply(0, &Update{Topic: Targets, Full: true, Rev: 10})
