internal/coordination/steer: a heartbeat of a cold target leaves it cold

Cause: each heartbeat says how much longer the target is cold; from that the daemon took off the time since it first saw the target, so the time was taken off twice.

Change: the time since that heartbeat was seen is taken off.

Evidence: TestHeartbeatsKeepTargetCold red before (6,800 ms left by the entry, 5,600 by the daemon).

--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -48,7 +48,7 @@
 // coldLeft returns how much longer a target is cold: after its start, and after
 // its data centre was put back in.
 func (c *Core) coldLeft(now clock.Milli, t *Target) clock.Milli {
-	left := t.ColdLeft - (now - t.firstSeen)
+	left := t.ColdLeft - (now - t.reportedAt)
 	if out, at := c.replica.Out(t.DataCentre); !out && at != clock.Never {
 		if p := c.pools[t.Pool]; p != nil {
 			left = max(left, p.Warmup-(now-at))
--- /dev/null
+++ b/internal/coordination/steer/cold_test.go
@@ -0,0 +1,44 @@
+package steer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+)
+
+// coldRate is the rate of the cold targets of these tests.
+const coldRate = 4
+
+// newColdHarness returns a daemon with two targets, whose pool has a cold rate.
+func newColdHarness(t *testing.T) *harness {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	tab := table()
+	tab.Rev, tab.Pools[0].ColdRate = 2000, coldRate
+	h.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: 2000, Table: tab})
+	h.rev = 2000
+	return h
+}
+
+// TestHeartbeatsKeepTargetCold guards against a cold target that counts as warm from
+// its second heartbeat on, as the time since the first is taken off twice (FAILBACK).
+func TestHeartbeatsKeepTargetCold(t *testing.T) {
+	h := newColdHarness(t)
+	cold := target(1, "a")
+	cold.StartedAt = 9
+	const warmup, beat = 8 * clock.Second, 1200 * clock.Milli(1)
+	began := h.now
+	for left := warmup; left > 0; left -= beat {
+		cold.ColdLeft = left
+		h.updateTarget(cold)
+		require.InDelta(t, float64(left), float64(h.core.coldLeft(h.now, h.core.byID[cold.ID])), 25)
+		h.advance(beat)
+		require.InDelta(t, float64(max(0, left-beat)), float64(max(0, h.core.coldLeft(h.now, h.core.byID[cold.ID]))), 50)
+	}
+	require.GreaterOrEqual(t, h.now-began, warmup)
+	cold.ColdLeft = 0
+	h.updateTarget(cold)
+	require.LessOrEqual(t, h.core.coldLeft(h.now, h.core.byID[cold.ID]), clock.Milli(0))
+}
--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -39,7 +39,7 @@
 	}
 	switch {
 	case t == nil:
-		t = &Target{Code: code, firstSeen: now}
+		t = &Target{Code: code}
 		c.byCode[code] = t
 		at, _ := slices.BinarySearchFunc(c.targets, code, func(t *Target, code fleet.Code) int { return cmp.Compare(t.Code, code) })
 		c.targets = slices.Insert(c.targets, at, t)
@@ -47,6 +47,9 @@
 		t = c.addColliding(code, t, id)
 	}
 	c.byID[id] = t
+	if t.Rev != e.Target.Rev {
+		t.reportedAt = now
+	}
 	t.Target = e.Target
 	t.limiter = c.limiter(t.Pool)
 	if e.Gone {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -125,9 +125,9 @@
 	goneAt   clock.Milli
 	replaced bool
 	// drained is set if the target was draining when its entry was removed.
-	// firstSeen is when its entry was first seen.
-	drained   bool
-	firstSeen clock.Milli
+	// reportedAt is when the latest version of its entry was seen.
+	drained    bool
+	reportedAt clock.Milli
 	// suspect is set while the target is in Core.suspects.
 	suspect bool
 	// localPeerMisses is the number of misses that peers of this data centre
