internal/coordination/watch: a daemon that hears nobody takes a small part of a cold target

Seen by callers: seven daemons whose seeds are all down open up to 57 flows a second on a cold target, the bound is 35 (FAILBACK, review-lab alone).

Cause: each took itself for the admitter of every target, with half of its rate.

Change: a daemon with seeds or peers that hears none of them admits no target, and takes its part of the other half as one of 100 daemons, or of all that it knew. In sum the rate holds for 300 such daemons. It still opens flows on cold targets, at that part; a target is warm by the time that it told.

Requests that only cold targets of such a pool could serve wait meanwhile: weighed, the rule goes first.

--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -32,9 +32,10 @@
 func (b *openBudget) spend() { b.tokens-- }
 
 // SetAdmitter sets the function that reports whether this daemon is the admitter
-// of a target, and the number of daemons.
-func (c *Core) SetAdmitter(f func(fleet.Code) bool, members int) {
-	c.admitter, c.members = f, members
+// of a target, the number of daemons, and the number among which the rate of a cold
+// target is split.
+func (c *Core) SetAdmitter(f func(fleet.Code) bool, members, sharers int) {
+	c.admitter, c.members, c.sharers = f, members, sharers
 }
 
 // rateShare returns this daemon's share of a cold target's rate.
@@ -42,7 +43,7 @@
 	if c.admitter(t.Code) {
 		return admitterShare
 	}
-	return (1 - admitterShare) / float64(max(1, c.members))
+	return (1 - admitterShare) / float64(max(1, c.sharers))
 }
 
 // coldLeft returns how much longer a target is cold: after its start, and after
--- a/internal/coordination/steer/overload_test.go
+++ b/internal/coordination/steer/overload_test.go
@@ -14,7 +14,7 @@
 	s := newSimulation(t, daemons, targets, slots)
 	for _, h := range s.daemons {
 		h.apply(fleet.Update{Topic: fleet.Config, Full: true, Rev: 1100, Table: limitedTable()})
-		h.core.SetAdmitter(func(fleet.Code) bool { return true }, daemons)
+		h.core.SetAdmitter(func(fleet.Code) bool { return true }, daemons, daemons)
 	}
 	return s
 }
--- a/internal/coordination/steer/queue_test.go
+++ b/internal/coordination/steer/queue_test.go
@@ -30,7 +30,7 @@
 	x.Slots = 2
 	h := newHarness(t, x)
 	h.apply(fleet.Update{Topic: fleet.Config, Full: true, Rev: 1100, Table: limitedTable()})
-	h.core.SetAdmitter(func(fleet.Code) bool { return true }, 1)
+	h.core.SetAdmitter(func(fleet.Code) bool { return true }, 1, 1)
 	h.advance(500)
 	return h
 }
@@ -294,7 +294,7 @@
 func TestIdleTargetGetsRequestsBeyondLimit(t *testing.T) {
 	h := newHarness(t, target(1, "a"), target(2, "a"))
 	h.apply(fleet.Update{Topic: fleet.Config, Full: true, Rev: 1100, Table: limitedTable()})
-	h.core.SetAdmitter(func(fleet.Code) bool { return true }, 1)
+	h.core.SetAdmitter(func(fleet.Code) bool { return true }, 1, 1)
 	stalled, idle := h.openOn(idempotentAddress, target(1, "a").ID), h.openOn(idempotentAddress, target(2, "a").ID)
 	h.advance(200)
 	h.core.limiter("desk").limit = 1
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -221,7 +221,7 @@
 		tab := table()
 		tab.Rev, tab.Pools[0].ColdRate = 2000, 4
 		h.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: 2000, Table: tab})
-		h.core.SetAdmitter(func(fleet.Code) bool { return i == 0 }, daemons)
+		h.core.SetAdmitter(func(fleet.Code) bool { return i == 0 }, daemons, daemons)
 		harnesses = append(harnesses, h)
 	}
 	var times []clock.Milli
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -191,6 +191,7 @@
 	flows         flowTable
 	peers         map[schema.VMID]*peerLoads
 	members       int
+	sharers       int
 	admitter      func(fleet.Code) bool
 	// storeFailedAt is when a read of the store last failed, here or at a peer.
 	storeFailedAt clock.Milli
--- a/internal/coordination/steer/unresponsive_test.go
+++ b/internal/coordination/steer/unresponsive_test.go
@@ -211,7 +211,7 @@
 func TestOnlyAdmitterTriesAvoidedTarget(t *testing.T) {
 	for _, isAdmitter := range []bool{true, false} {
 		h := newHarness(t, target(1, "a"), target(2, "a"))
-		h.core.SetAdmitter(func(fleet.Code) bool { return isAdmitter }, 7)
+		h.core.SetAdmitter(func(fleet.Code) bool { return isAdmitter }, 7, 7)
 		h.sendUnanswered("i-000001")
 		unresponsive := h.core.byCode[target1Code()]
 		trials := 0
--- a/internal/coordination/watch/rank.go
+++ b/internal/coordination/watch/rank.go
@@ -17,6 +17,9 @@
 	// in a thousand of the live ones are heard of within that time.
 	memberTimeoutPerPeer = 75 * clock.Milli(1)
 	minMemberTimeout     = 6 * clock.Second
+	// isolatedSharers is the number of daemons that an isolated one assumes. The rate
+	// of a cold target holds in sum for three times as many that are all isolated.
+	isolatedSharers = 100
 )
 
 // byRank orders peers by rank. The order is the same at all daemons.
@@ -84,9 +87,26 @@
 	return n
 }
 
+// isolated reports whether this daemon hears no other one though there may be some.
+func (ps *PeerSet) isolated(now clock.Milli) bool { return !ps.Empty() && ps.Members(now) == 0 }
+
+// Sharers returns the number of daemons among which the rate of a cold target is
+// split: the members and this daemon. An isolated daemon can't know the others, so it
+// takes a part that is safe for isolatedSharers and for all that it knew.
+func (ps *PeerSet) Sharers(now clock.Milli) int {
+	if ps.isolated(now) {
+		return max(isolatedSharers, len(ps.ranked)+1)
+	}
+	return ps.Members(now) + 1
+}
+
 // Admits reports whether this daemon is the one that admits the opens of a cold
-// target: the member with the highest score for it (rendezvous hashing).
+// target: the member with the highest score for it (rendezvous hashing). An isolated
+// daemon admits none, as others may.
 func (ps *PeerSet) Admits(now clock.Milli, code fleet.Code) bool {
+	if ps.isolated(now) {
+		return false
+	}
 	mine := mixScore(ps.score, code)
 	for _, p := range ps.ranked {
 		if mixScore(p.score, code) > mine && ps.isMember(p, now) {
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -423,3 +423,24 @@
 	_, remote = ps.RemoteDataCentre(addr(200))
 	require.False(t, remote, "the peer is unknown")
 }
+
+// TestIsolatedDaemonsShareTheColdRate guards against daemons whose seeds are all down,
+// each of which takes itself for the admitter of every cold target (FAILBACK).
+func TestIsolatedDaemonsShareTheColdRate(t *testing.T) {
+	seeds := []netip.AddrPort{addr(97), addr(98), addr(99)}
+	for n := range 7 {
+		ps := NewPeerSet(addr(n), "a", seeds, uint64(n))
+		require.False(t, ps.Admits(start, 77))
+		require.Equal(t, isolatedSharers, ps.Sharers(start))
+	}
+	alone := NewPeerSet(addr(0), "a", []netip.AddrPort{addr(0)}, 1)
+	require.True(t, alone.Admits(start, 77), "it is its only seed")
+	require.Equal(t, 1, alone.Sharers(start))
+	ps := NewPeerSet(addr(0), "a", seeds, 1)
+	for i := 1; i <= 3; i++ {
+		ps.RecordSummary(start, addr(i), "x", "a", 1, 1, false)
+	}
+	require.Equal(t, 4, ps.Sharers(start))
+	require.Equal(t, isolatedSharers, ps.Sharers(start+clock.Minute), "all are silent, or it is cut off")
+	require.False(t, ps.Admits(start+clock.Minute, 77))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,7 +157,7 @@
 	}
 	loaded := *cfg
 	d.loaded = &loaded
-	d.core.SetAdmitter(func(code fleet.Code) bool { return d.membership.Admits(d.lastTick, code) }, 1)
+	d.core.SetAdmitter(func(code fleet.Code) bool { return d.membership.Admits(d.lastTick, code) }, 1, d.membership.Sharers(d.lastTick))
 	if err := d.listen(); err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
