internal/entry, steer: a process that stood still doubts which targets are warm

Cause: a pause discarded the ages of the view, which keeps flows from being refused, but opens went on as before it.

Change: after a pause of 400 ms or more, noticed by the first packet or tick, any target of a pool with a cold rate counts as cold, until a read of the store that began 100 ms after the pause confirms the targets, or for 2 s. Packets that don't fit wait for their client's copy. Pools without a rate are served as before.

--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -38,6 +38,13 @@
 	c.admitter, c.members, c.sharers = f, members, sharers
 }
 
+// SetDoubtful sets whether this daemon may hold an old view because it did not run
+// for a while. Then any target may have been restarted and be cold.
+func (c *Core) SetDoubtful(doubtful bool) { c.doubtful = doubtful }
+
+// Doubtful reports whether that is set.
+func (c *Core) Doubtful() bool { return c.doubtful }
+
 // rateShare returns this daemon's share of a cold target's rate.
 func (c *Core) rateShare(t *Target) float64 {
 	if c.admitter(t.Code) {
@@ -49,6 +56,9 @@
 // coldLeft returns how much longer a target is cold: after its start, and after
 // its data centre was put back in.
 func (c *Core) coldLeft(now clock.Milli, t *Target) clock.Milli {
+	if c.doubtful {
+		return 1
+	}
 	left := t.ColdLeft - (now - t.reportedAt)
 	if out, at := c.replica.Out(t.DataCentre); !out && at != clock.Never {
 		if p := c.pools[t.Pool]; p != nil {
--- a/internal/coordination/steer/cold_test.go
+++ b/internal/coordination/steer/cold_test.go
@@ -7,6 +7,7 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
 )
 
 // coldRate is the rate of the cold targets of these tests.
@@ -42,3 +43,24 @@
 	h.updateTarget(cold)
 	require.LessOrEqual(t, h.core.coldLeft(h.now, h.core.byID[cold.ID]), clock.Milli(0))
 }
+
+// TestDoubtfulViewTakesAnyTargetForCold guards against first packets that waited while
+// the process stood still and go to a target that was restarted meanwhile (FAILBACK).
+func TestDoubtfulViewTakesAnyTargetForCold(t *testing.T) {
+	h := newColdHarness(t)
+	h.core.SetAdmitter(func(fleet.Code) bool { return false }, 7, 7)
+	h.core.SetDoubtful(true)
+	opened := 0
+	for range 50 {
+		s := flow.Segment{Open: true, Tuple: flow.Tuple{ServiceAddress: idempotentAddress.Addr().As4(), ServicePort: idempotentAddress.Port(), ClientPort: uint16(5000 + opened)}}
+		if v := h.core.Decide(h.now, &s, true); v.Action == Deliver {
+			opened++
+		} else {
+			require.Equal(t, ColdBudget, v.Reason)
+			require.Equal(t, Drop, v.Action, "its client repeats it")
+		}
+	}
+	require.LessOrEqual(t, opened, 2)
+	h.core.SetDoubtful(false)
+	require.Len(t, h.countOpens(50), 2)
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -192,6 +192,7 @@
 	peers         map[schema.VMID]*peerLoads
 	members       int
 	sharers       int
+	doubtful      bool
 	admitter      func(fleet.Code) bool
 	// storeFailedAt is when a read of the store last failed, here or at a peer.
 	storeFailedAt clock.Milli
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,9 @@
 	// seq is the sequence number of the last summary.
 	seq      uint64
 	lastTick clock.Milli
+	// resumedAt is when this process last ran again after a pause, Never if it did
+	// not pause.
+	resumedAt clock.Milli
 	// removalsPulled is set once a peer sent the removed targets that it
 	// remembers.
 	removalsPulled bool
@@ -139,6 +142,7 @@
 		lastSummary:        clock.Never,
 		lastPacket:         clock.Never,
 		cutOffSince:        clock.Never,
+		resumedAt:          clock.Never,
 		storeFailedAt:      clock.Never,
 		storeCalls:         make(chan watch.Call, 1),
 		pullQueue:          make(chan netip.AddrPort, 1),
@@ -268,6 +272,7 @@
 	d.mu.Lock()
 	now := d.clock.Now()
 	d.lastPacket = now
+	d.notePause(now)
 	v := d.core.Decide(now, s, d.isFresh(now))
 	d.execute(now, b, s, v)
 	d.forwardReleased(d.core.Releases(now))
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -23,6 +23,12 @@
 	// graceMargin is the part of the grace period that is left when a graceful
 	// stop ends at the latest.
 	graceMargin = 700 * clock.Milli(1)
+	// queuedSummaries is the time within which summaries that waited during a pause
+	// have been handled.
+	queuedSummaries = 100 * clock.Milli(1)
+	// doubtTimeout is how long after a pause any target may be cold if no read
+	// confirms the view.
+	doubtTimeout = 2 * clock.Second
 	// settingsInterval is the time between two reads of the settings file.
 	settingsInterval = 2 * time.Second
 )
@@ -42,11 +48,9 @@
 		d.clock.Advance(elapsed)
 	}
 	now := d.clock.Now()
-	if now-d.lastTick > pauseThreshold {
-		d.log.infof("pause: process did not run for %dms; confirmation ages discarded", now-d.lastTick)
-		d.reader.InvalidateAges()
-	}
+	d.notePause(now)
 	d.lastTick = now
+	d.endDoubt(now)
 	d.core.Tick(now)
 	d.forwardReleased(d.core.Releases(now))
 	d.discardEnded(now)
@@ -83,6 +87,28 @@
 	}
 }
 
+// notePause discards what a pause of this process has made old. The caller holds d.mu.
+func (d *Daemon) notePause(now clock.Milli) {
+	if now-d.lastTick <= pauseThreshold || d.resumedAt > d.lastTick {
+		return
+	}
+	d.log.infof("pause: process did not run for %dms; confirmation ages discarded", now-d.lastTick)
+	d.reader.InvalidateAges()
+	d.resumedAt = now
+	d.core.SetDoubtful(true)
+}
+
+// endDoubt ends the doubt after a pause once the targets were confirmed by a read that
+// began after it, or after doubtTimeout. Summaries that waited during the pause state
+// ages that are too low, so the read must have begun queuedSummaries later. The caller
+// holds d.mu.
+func (d *Daemon) endDoubt(now clock.Milli) {
+	confirmed := now - d.reader.Age(now, fleet.Targets)
+	if confirmed > d.resumedAt+queuedSummaries || now-d.resumedAt > doubtTimeout {
+		d.core.SetDoubtful(false)
+	}
+}
+
 // isReady reports whether the fabric should send packets to this daemon. The
 // caller holds d.mu.
 func (d *Daemon) isReady() bool {
--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -147,3 +147,30 @@
 	f.hear(t, g)
 	require.True(t, f.daemon.core.Replica().Entry("i-02").Gone)
 }
+
+// A process that stood still doubts its view until a read that began later confirms it,
+// whatever the summaries say that waited meanwhile.
+func TestPausedDaemonDoubtsItsView(t *testing.T) {
+	f := newFixture(t)
+	f.deploy()
+	f.readTopics(t, fleet.Targets, fleet.Config, fleet.Outs)
+	d := f.daemon
+	now := d.lastTick
+	d.notePause(now + pauseThreshold)
+	require.Equal(t, clock.Never, d.resumedAt, "no pause")
+	now += clock.Second
+	d.notePause(now)
+	require.Equal(t, now, d.resumedAt)
+	d.reader.Advance(fleet.Targets, d.core.Replica().Rev(fleet.Targets), now-5)
+	d.endDoubt(now + 5)
+	require.True(t, d.core.Doubtful())
+	d.notePause(now + 10)
+	require.Equal(t, now, d.resumedAt, "the same pause")
+	d.reader.Advance(fleet.Targets, d.core.Replica().Rev(fleet.Targets), now+queuedSummaries+1)
+	d.endDoubt(now + 200)
+	require.False(t, d.core.Doubtful())
+	d.core.SetDoubtful(true)
+	d.reader.InvalidateAges()
+	d.endDoubt(now + doubtTimeout + 1)
+	require.False(t, d.core.Doubtful(), "the store and all peers are silent")
+}
