--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"net/netip"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/watch"
 	"coltsfootdock/internal/protocol/digest"
@@ -30,6 +32,28 @@
 	return v
 }
 
+// compareViews records the view that a peer's summary states and reports whether to
+// pull from the peer. The caller holds d.mu.
+func (d *Daemon) compareViews(now clock.Milli, from netip.AddrPort, s *digest.Summary) bool {
+	own, theirs := d.view(now), viewOf(now, s)
+	d.membership.RecordView(from, theirs)
+	behind := false
+	for t := range fleet.Topics {
+		switch {
+		case own.Differs(&theirs, t):
+			d.logDifference(s.ID, &own, &theirs, t)
+			behind = d.reader.RecordDifference(now, t) || behind
+		case theirs.Grounded[t] && !own.Grounded[t] && own.Sums[t] != theirs.Sums[t]:
+			behind = true
+		case theirs.Grounded[t]:
+			behind = d.reader.RecordPeerRevision(now, t, theirs.Revs[t], theirs.Confirmed[t]) || behind
+		case own.Revs[t] == 0 && theirs.Revs[t] != 0:
+			behind = true // better than nothing
+		}
+	}
+	return behind
+}
+
 // logDifference counts and logs that a peer holds other objects of a topic than this
 // daemon although both are complete up to the same revision. The caller holds d.mu.
 func (d *Daemon) logDifference(peer schema.VMID, own, theirs *watch.View, t fleet.Topic) {
