--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -260,7 +260,7 @@
 				return Call{}, false
 			}
 			// The first lists may be stale: these cost the store a tenth of
-			// a current one, and a peer or the next read confirms them.
+			// a current one, and a peer or the next list grounds them.
 			return Call{Topic: t, List: true, Stale: !r.relist[t]}, true
 		}
 	}
@@ -281,6 +281,12 @@
 	if t, ok := r.dueCheck(now); ok {
 		return Call{Topic: t, List: true}, true
 	}
+	return r.poll(now)
+}
+
+// poll returns the read for changes of the targets, unless the last read ended just
+// now.
+func (r *Reader) poll(now clock.Milli) (Call, bool) {
 	if now-r.lastDone < minReadInterval {
 		return Call{}, false
 	}
