internal/coordination/steer: flows of a new start live under the old one's code

Cause: the store was silent for 5 s, the target restarted meanwhile. Daemons went on opening flows on it, which carry the code of the start that they knew (by the log at 30.8 s with a view 5.6 s old).

Change: a newer start ends flows whose last answer is older than the store's last confirmation of the old one, as before. What was answered later, or was opened at another daemon, goes on to the target, which resets what it doesn't hold itself.

Evidence: TestFlowsOfTheNewStartLiveUnderTheOldCode red with the old rule, green now; TestRestartedTargetResetsOldFlows unchanged.

--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -235,7 +235,7 @@
 		return false
 	}
 	if t.replaced {
-		return true
+		return c.replacedFlowLost(t, r)
 	}
 	if r != nil && r.lastAck >= t.goneAt || t.answers.lastAnswer > t.goneAt+lateAnswerGrace {
 		return false // it still answers: only its entry is gone
@@ -246,3 +246,17 @@
 	}
 	return gone > goneGrace && now-c.storeFailedAt > goneGrace
 }
+
+// replacedFlowLost reports whether a flow ended with a start of its target that a newer
+// one replaced. While the view was old, flows of the newer start were opened under the
+// code of the old one; the target itself resets those that it does not hold.
+func (c *Core) replacedFlowLost(t *Target, r *flowRecord) bool {
+	if last := c.byID[t.ID]; last == nil || last.Address != t.Address || last.Number != t.Number {
+		return true
+	}
+	if r == nil {
+		return false
+	}
+	last := max(r.lastAck, r.openedAt) // zero if another daemon opened the flow
+	return last != 0 && last <= t.runningAt
+}
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -147,6 +147,31 @@
 	require.Equal(t, Deliver, fresh.request().Action)
 }
 
+// TestFlowsOfTheNewStartLiveUnderTheOldCode guards against flows that are reset because
+// they were opened on a restarted target by a view that was older than the restart (FLOW).
+func TestFlowsOfTheNewStartLiveUnderTheOldCode(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	before := h.openOn(nonIdempotentAddress, "i-000001")
+	h.advance(clock.Second)
+	confirmed := h.now
+	h.advance(5 * clock.Second) // the store is silent, the target restarts
+	after := h.openOn(nonIdempotentAddress, "i-000001")
+	after.roundTrip()
+	restarted := target(1, "a")
+	restarted.StartedAt = 2
+	h.core.SetTargetsConfirmed(confirmed)
+	h.updateTarget(restarted)
+	h.advance(clock.Second)
+	resets := h.core.Resets()
+	require.Len(t, resets, 1)
+	require.Equal(t, before.tuple, resets[0].Tuple, "its last answer is older than what the store confirmed")
+	require.Equal(t, Deliver, after.request().Action)
+	elsewhere := *after // opened at another daemon
+	elsewhere.tuple.ClientPort += 100
+	require.Equal(t, Deliver, elsewhere.request().Action, "the target resets it if it does not hold it")
+	require.Equal(t, Deliver, elsewhere.request().Action)
+}
+
 // An older list arrives after a newer change.
 func TestOlderUpdateChangesNothing(t *testing.T) {
 	h := newHarness(t, target(1, "a"), target(2, "a"))
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -18,6 +18,7 @@
 package steer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 
@@ -124,6 +125,9 @@
 	gone     bool
 	goneAt   clock.Milli
 	replaced bool
+	// runningAt is when the store last confirmed this start before a newer one
+	// replaced it. Flows answered later may be those of the newer start.
+	runningAt clock.Milli
 	// drained is set if the target was draining when its entry was removed.
 	// reportedAt is when the latest version of its entry was seen.
 	drained    bool
@@ -193,7 +197,9 @@
 	members       int
 	sharers       int
 	doubtful      bool
-	admitter      func(fleet.Code) bool
+	// targetsConfirmed is when the targets were last confirmed by the store.
+	targetsConfirmed clock.Milli
+	admitter         func(fleet.Code) bool
 	// storeFailedAt is when a read of the store last failed, here or at a peer.
 	storeFailedAt clock.Milli
 	lastScan      clock.Milli
@@ -275,6 +281,7 @@
 		flows:              newFlowTable(maxFlows),
 		peers:              make(map[schema.VMID]*peerLoads),
 		admitter:           func(fleet.Code) bool { return true },
+		targetsConfirmed:   math.MaxInt64, // each update is applied as it happens, unless told otherwise
 		storeFailedAt:      clock.Never,
 		lastScan:           clock.Never,
 		latenciesCompared:  clock.Never,
@@ -311,7 +318,7 @@
 	for i := range ch.Replaced {
 		if t := c.byCode[ch.Replaced[i].Code()]; t != nil {
 			c.markGone(now, t)
-			t.replaced = true
+			t.replaced, t.runningAt = true, min(now, c.targetsConfirmed)
 		}
 	}
 	if ch.Changed {
@@ -320,6 +327,10 @@
 	return ch.Changed
 }
 
+// SetTargetsConfirmed sets when the targets were last confirmed by the store. It must
+// be called before Apply.
+func (c *Core) SetTargetsConfirmed(at clock.Milli) { c.targetsConfirmed = at }
+
 // RecordStoreFailure records that a read of the store failed, here or at a peer.
 // Entries that vanish around that time may come back.
 func (c *Core) RecordStoreFailure(at clock.Milli) { c.storeFailedAt = max(c.storeFailedAt, at) }
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -109,6 +109,7 @@
 // caller holds d.mu.
 func (d *Daemon) apply(now clock.Milli, u *fleet.Update, from string) {
 	before, _ := d.configVersion()
+	d.core.SetTargetsConfirmed(now - d.reader.Age(now, fleet.Targets))
 	changed := d.core.Apply(now, u)
 	d.releaseHeld(now) // even if nothing changed: an empty list can make the deployment known
 	if !changed {
