internal/standin/soak: a route moves once, so the checks know each pool that it had

The second move to proof replaced the remembered old pool, desk, by proof, so a use of desk within the bound counted as a pool that the route never had.

Change: a route that has moved is not moved again; a version is written all the same.

Evidence: TestRouteMovesOnce, red before by the lines above (the old pool is proof after a second move).

--- a/internal/standin/soak/route.go
+++ b/internal/standin/soak/route.go
@@ -44,6 +44,12 @@
 	return r.leaving
 }
 
+func (r *route) hasMoved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.moving
+}
+
 func (r *route) currentPool() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,8 +127,13 @@
 	return r
 }
 
-// moveRoute moves a route to another pool.
+// moveRoute moves a route to another pool. A route moves once, as the checks know one
+// earlier pool; a version without a change is written if it has moved.
 func (s *System) moveRoute(r *route, pool string) {
+	if r.hasMoved() {
+		s.writeTable(nil, nil, nil)
+		return
+	}
 	s.writeTable(func() { r.moving, r.oldPool, r.pool = true, r.pool, pool }, func(c tableChange) { r.moved = c }, r)
 }
 
