platform, soak: bad entries are whole but for the field that they are about

Cause: since an entry needs each field, the cases of TestMalformedTargetsAreSkipped, of TestUnreadableEntryCostsItselfAlone and of the soak's other writer were refused for fields that they never had, so they checked less than their names say.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -184,10 +184,22 @@
 var invalidTargetSpecs = []any{
 	nil, "ready", 7, []int{1}, map[string]any{},
 	map[string]any{"service": "desk", "state": "ready"},
-	map[string]any{"service": "desk", "address": "here", "zone": "dc-a", "state": "ready", "born": 1},
-	map[string]any{"service": 3, "address": "127.0.0.1:1", "zone": "dc-a", "state": "ready", "born": 1},
-	map[string]any{"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "state": "asleep", "born": 1},
-	map[string]any{"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "state": "ready", "born": "soon"},
+	entryWith("address", "here"),
+	entryWith("service", 3),
+	entryWith("state", "asleep"),
+	entryWith("born", "soon"),
+	entryWith("born", nil),
+}
+
+// entryWith returns a target's whole entry with one field replaced. Nothing listens at
+// its address.
+func entryWith(field string, value any) map[string]any {
+	entry := map[string]any{
+		"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "version": "v1", "concurrency": 2, "state": "ready",
+		"warmupLeftMs": 0, "seq": 1, "born": 1,
+	}
+	entry[field] = value
+	return entry
 }
 
 // storeProxyFault returns the fault that one daemon's store proxy is in a mode.
