entry, watch: each view names its proof apart from its claim

Cause: logs and beliefs gave the age of what a daemon claims to know (revision R, confirmed so long ago). Change: the reader tracks up to which revision a topic was shown to be complete, by lists and by second looks after the watches' silence; summaries and pulls carry it. flow: and belief: lines, explain, /belief and two gauges show it, and flow: lines the age of the chosen target's entry. No decision uses it.

--- a/cmd/coltsfootdock/cmd/explain.go
+++ b/cmd/coltsfootdock/cmd/explain.go
@@ -99,7 +99,7 @@
 	fmt.Fprintf(w, "daemon %s in %s: ready %t, leaving %t, deaf %t, cut off %t, %d peers, rank %d, configuration %d\n",
 		b.ID, b.DataCentre, b.Ready, b.Leaving, b.Deaf, b.CutOff, b.Peers, b.Rank, b.ConfigVersion)
 	for _, t := range b.Topics {
-		fmt.Fprintf(w, "  %s: revision %d, confirmed %s\n", t.Topic, t.Rev, ago(t.Age))
+		fmt.Fprintf(w, "  %s: revision %d, confirmed %s; proved up to %d as of %s, by %s\n", t.Topic, t.Rev, ago(t.Age), t.Proved, ago(t.ProofAge), orNone(t.ProvedBy))
 	}
 	for i := range b.Fleet {
 		printPeer(w, &b.Fleet[i])
@@ -125,13 +125,22 @@
 
 // printPeer prints what a peer's last summary states of its view.
 func printPeer(w io.Writer, p *entry.PeerBelief) {
-	fmt.Fprintf(w, "peer %s in %s: configuration %d at revision %d, confirmed %s, heard %s", p.ID, p.DataCentre, p.ConfigVersion, p.ConfigRev, ago(p.ConfigAge), ago(p.Silence))
+	fmt.Fprintf(w, "peer %s in %s: configuration %d at revision %d, confirmed %s; targets at revision %d, proved up to %d as of %s; heard %s",
+		p.ID, p.DataCentre, p.ConfigVersion, p.ConfigRev, ago(p.ConfigAge), p.TargetsRev, p.TargetsProved, ago(p.TargetsProofAge), ago(p.Silence))
 	if len(p.Differs) > 0 {
 		fmt.Fprintf(w, "; other objects at the same revision: %s", strings.Join(p.Differs, ", "))
 	}
 	fmt.Fprintln(w)
 }
 
+// orNone returns a name, or "none" if it is empty.
+func orNone(name string) string {
+	if name == "" {
+		return "none"
+	}
+	return name
+}
+
 // ago formats the time since an event; a negative one means that the event never
 // happened.
 func ago(d clock.Milli) string {
--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// EntryAge returns the time since this daemon learned of the target's entry as it is.
+func (t *Target) EntryAge(now clock.Milli) clock.Milli { return now - t.reportedAt }
+
 // addColliding returns the state of a target whose code is already that of
 // another target. Neither gets new flows while both exist.
 func (c *Core) addColliding(code fleet.Code, first *Target, id schema.TargetID) *Target {
--- a/internal/coordination/watch/peers.go
+++ b/internal/coordination/watch/peers.go
@@ -48,6 +48,8 @@
 	// Confirmed are the times at which the revisions were confirmed, Never if they
 	// were not.
 	Confirmed [fleet.Topics]clock.Milli
+	// Proofs are what the replicas were shown to hold.
+	Proofs [fleet.Topics]Proof
 	// Grounded is set for the topics that rest on a current list of the store.
 	Grounded [fleet.Topics]bool
 }
--- a/internal/coordination/watch/progress.go
+++ b/internal/coordination/watch/progress.go
@@ -41,6 +41,8 @@
 		r.relist[c.Topic], r.grounded[c.Topic] = false, true
 	}
 	r.advance(c.Topic, rev)
+	r.noteClaim(now)
+	r.recordProof(began, c, rev)
 	r.recordCheck(began, c)
 	for t := range r.revs {
 		if r.revs[t] >= rev {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -124,6 +124,10 @@
 	// grounded is set once the replica of a topic rests on a current list.
 	grounded [fleet.Topics]bool
 	checks   checks
+	proofs   [fleet.Topics]Proof
+	// unproved are the revisions of the targets that were held since the proof, the
+	// oldest first.
+	unproved []claim
 	// differences are those from peers, by topic.
 	differences [fleet.Topics]difference
 	// newestRev is the highest known revision of the store.
@@ -161,6 +165,7 @@
 		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
 		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
+		r.proofs[t] = noProof
 		r.differences[t] = difference{clock.Never, clock.Never, clock.Never}
 	}
 	r.SetBounds(r.bounds)
@@ -244,6 +249,7 @@
 // Done.
 func (r *Reader) Next(now clock.Milli) (Call, bool) {
 	r.recordClaim(now)
+	r.noteClaim(now)
 	if r.inFlight || now < r.lastDone+r.backoff {
 		return Call{}, false
 	}
--- a/internal/entry/belief.go
+++ b/internal/entry/belief.go
@@ -54,6 +54,12 @@
 	// From is from whom the last change came: "store" or a peer's address; empty
 	// if there was none.
 	From string `json:",omitempty"`
+	// Proved is the revision up to which the replica was shown to be complete, ProofAge
+	// the age of the state of the store that it was shown to hold, ProvedBy from whom
+	// that came.
+	Proved   schema.Version
+	ProofAge clock.Milli
+	ProvedBy string `json:",omitempty"`
 }
 
 // PeerBelief is what a peer's last summary states of its view.
@@ -66,6 +72,11 @@
 	// was confirmed.
 	ConfigRev schema.Version
 	ConfigAge clock.Milli
+	// TargetsRev is the revision of the targets, TargetsProved the one up to which
+	// they were shown to be complete, TargetsProofAge the age of that state.
+	TargetsRev      schema.Version
+	TargetsProved   schema.Version
+	TargetsProofAge clock.Milli
 	// Differs lists the topics of which the peer holds other objects than this
 	// daemon although both are complete up to the same revision.
 	Differs []string `json:",omitempty"`
@@ -86,6 +97,7 @@
 	for t := range fleet.Topics {
 		b.Topics = append(b.Topics, TopicBelief{
 			Topic: t.String(), Rev: d.core.Replica().Rev(t), Age: wireAge(d.reader.Age(now, t)), Sum: d.core.Replica().Sum(t), From: d.learnedFrom[t],
+			Proved: d.reader.Proof(t).Rev, ProofAge: wireAge(d.reader.ProofAge(now, t)), ProvedBy: d.provedBy[t],
 		})
 	}
 	b.Fleet = d.fleetBelief(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	// learnedFrom tells from whom the last change of each topic came: "store" or a
 	// peer's address.
 	learnedFrom [fleet.Topics]string
+	// provedBy tells from whom the last proof of each topic came: "store", a peer's
+	// ID or its address.
+	provedBy [fleet.Topics]string
 	// configUnread is set while the store's configuration can't be decoded, so that
 	// the one in force is an older one.
 	configUnread bool
@@ -300,6 +303,6 @@
 		d.queue(b, s)
 	}
 	if v.Changed {
-		d.log.decision(s, &v, d.logView(now))
+		d.log.decision(now, s, &v, d.logView(now))
 	}
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -87,6 +87,7 @@
 		topic := fleet.Topic(t)
 		s.Topics[t] = digest.TopicState{
 			Rev: d.core.Replica().Rev(topic), Age: wireAge(d.reader.Age(now, topic)), Sum: d.core.Replica().Sum(topic), Grounded: d.reader.Grounded(topic),
+			Unproved: d.core.Replica().Rev(topic) - d.reader.Proof(topic).Rev, ProofAge: wireAge(d.reader.ProofAge(now, topic)),
 		}
 	}
 	s.ConfigVersion, _ = d.configVersion()
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -10,6 +10,7 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/coordination/watch"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
 	"coltsfootdock/pkg/schema"
@@ -120,11 +121,19 @@
 	table   schema.Version
 	revs    [fleet.Topics]schema.Version
 	ages    [fleet.Topics]clock.Milli
+	// proof is what the replica of the targets was shown to hold, proofAge the age of
+	// that state, provedBy from whom it came.
+	proof    watch.Proof
+	proofAge clock.Milli
+	provedBy string
 }
 
 // logView returns the daemon's view. The caller holds d.mu.
 func (d *Daemon) logView(now clock.Milli) *logView {
-	w := &logView{revs: d.core.Replica().Revs()}
+	w := &logView{
+		revs: d.core.Replica().Revs(), proof: d.reader.Proof(fleet.Targets),
+		proofAge: wireAge(d.reader.ProofAge(now, fleet.Targets)), provedBy: d.provedBy[fleet.Targets],
+	}
 	w.version, w.table = d.configVersion()
 	for t := range fleet.Topics {
 		w.ages[t] = d.reader.Age(now, t)
@@ -134,7 +143,7 @@
 
 // decision logs the verdict on a packet with the view that it was based on, subject
 // to the rate limit.
-func (l *asyncLog) decision(s *flow.Segment, v *steer.Verdict, w *logView) {
+func (l *asyncLog) decision(now clock.Milli, s *flow.Segment, v *steer.Verdict, w *logView) {
 	if !l.limiter.Allow() {
 		l.mu.Lock()
 		l.omit()
@@ -142,13 +151,16 @@
 		return
 	}
 	target, route := schema.TargetID(""), schema.Name("")
+	entryRev, entryAge := schema.Version(0), clock.Milli(-1)
 	if v.Target != nil {
 		target = v.Target.ID
+		entryRev, entryAge = v.Target.Rev, v.Target.EntryAge(now)
 	}
 	if v.Route != nil {
 		route = v.Route.Name
 	}
-	l.infof("flow: client=%s service=%s route=%s target=%s cookie=%08x open=%t copy=%d action=%s reason=%s version=%d table=%d config=%d/%dms targets=%d/%dms",
+	l.infof("flow: client=%s service=%s route=%s target=%s cookie=%08x open=%t copy=%d action=%s reason=%s version=%d table=%d config=%d/%dms targets=%d/%dms proved=%d/%dms/%s entry=%d/%dms",
 		s.Tuple.Source(), s.Tuple.Service(), route, target, s.Cookie, s.Open, s.Retransmissions, v.Action, v.Reason,
-		w.version, w.table, w.revs[fleet.Config], w.ages[fleet.Config], w.revs[fleet.Targets], w.ages[fleet.Targets])
+		w.version, w.table, w.revs[fleet.Config], w.ages[fleet.Config], w.revs[fleet.Targets], w.ages[fleet.Targets],
+		w.proof.Rev, w.proofAge, w.provedBy, entryRev, entryAge)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -87,6 +87,12 @@
 		gauge(fmt.Sprintf(`coltsfootdock_topic_age_seconds{topic=%q}`, t), func(now clock.Milli) float64 {
 			return float64(d.reader.Age(now, t)) / float64(clock.Second)
 		})
+		gauge(fmt.Sprintf(`coltsfootdock_topic_proof_age_seconds{topic=%q}`, t), func(now clock.Milli) float64 {
+			return float64(d.reader.ProofAge(now, t)) / float64(clock.Second)
+		})
+		gauge(fmt.Sprintf(`coltsfootdock_topic_unproved_revisions{topic=%q}`, t), func(clock.Milli) float64 {
+			return float64(d.core.Replica().Rev(t) - d.reader.Proof(t).Rev)
+		})
 	}
 	gauge("coltsfootdock_config_unread", func(clock.Milli) float64 {
 		if d.configUnread {
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -77,7 +77,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range n.Updates {
-		d.applyPulled(p, &n.Updates[i], n.Ages[i])
+		d.applyPulled(p, &n.Updates[i], n.Ages[i], n.Proofs[i])
 	}
 	return nil
 }
@@ -138,7 +138,7 @@
 
 // applyPulled applies one update of a pull. Age is that of its topic at the peer,
 // negative if the peer's view is not confirmed. The caller holds d.mu.
-func (d *Daemon) applyPulled(p *pull, u *fleet.Update, age clock.Milli) {
+func (d *Daemon) applyPulled(p *pull, u *fleet.Update, age clock.Milli, proof digest.Proof) {
 	if u.Since == 0 && (age < 0 || p.merges[u.Topic]) {
 		u.Full = false // what it does not list may exist
 	}
@@ -148,6 +148,9 @@
 	if u.Rev <= d.core.Replica().Rev(u.Topic) && age >= 0 && !p.merges[u.Topic] {
 		confirmed = p.began - age
 	}
+	if confirmed != clock.Never && (u.Full || u.Since <= d.reader.Proof(u.Topic).Rev) {
+		d.adoptProof(u.Topic, proofOf(p.began, proof.Rev, proof.Age), p.from.String())
+	}
 	d.reader.Advance(u.Topic, u.Rev, confirmed)
 }
 
@@ -211,6 +214,7 @@
 			age = wireAge(d.reader.Age(now, topic))
 		}
 		n.Ages = append(n.Ages, age)
+		n.Proofs = append(n.Proofs, digest.Proof{Rev: d.reader.Proof(topic).Rev, Age: wireAge(d.reader.ProofAge(now, topic))})
 	}
 	return n
 }
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -14,6 +14,9 @@
 	"coltsfootdock/pkg/schema"
 )
 
+// fromStore names the store as the source of a change or of a proof.
+const fromStore = "store"
+
 // runStoreReads makes the calls to the store that the reader requests.
 func (d *Daemon) runStoreReads(ctx context.Context) error {
 	d.mu.Lock()
@@ -49,7 +52,7 @@
 	switch {
 	case err == nil:
 		rev = u.Rev
-		d.apply(now, u, "store")
+		d.apply(now, u, fromStore)
 	case errorx.IsOfType(err, object.Compacted):
 		outcome = watch.HistoryLost
 		d.log.infof("store: %s", err)
@@ -57,7 +60,11 @@
 		outcome = watch.Failed
 		d.noteStoreFailure(now, err)
 	}
+	proof := d.reader.Proof(c.Topic)
 	d.reader.Done(now, began, c, outcome, rev)
+	if d.reader.Proof(c.Topic) != proof {
+		d.provedBy[c.Topic] = fromStore
+	}
 	if outcome == watch.Read {
 		d.noteStoreSuccess(now)
 	}
@@ -122,8 +129,9 @@
 		d.log.infof("config: version=%d table=%d before=%d revision=%d from=%s full=%t routes=%d",
 			version, table, before, u.Rev, from, u.Full, len(d.core.Replica().Table().Routes))
 	}
-	d.log.sampledf("belief: topic=%s revision=%d from=%s full=%t targets=%d gone=%d outs=%d config=%d",
-		u.Topic, u.Rev, from, u.Full, len(u.Targets), len(u.Gone), len(u.Outs), version)
+	d.log.sampledf("belief: topic=%s revision=%d from=%s full=%t targets=%d gone=%d outs=%d config=%d since=%d proved=%d/%dms/%s",
+		u.Topic, u.Rev, from, u.Full, len(u.Targets), len(u.Gone), len(u.Outs), version,
+		u.Since, d.reader.Proof(u.Topic).Rev, wireAge(d.reader.ProofAge(now, u.Topic)), d.provedBy[u.Topic])
 }
 
 // configVersion returns the version of the configuration in force and the revision of
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -18,16 +18,25 @@
 		if x.Age >= 0 {
 			v.Confirmed[t] = now - x.Age
 		}
+		v.Proofs[t] = proofOf(now, x.Rev-x.Unproved, x.ProofAge)
 	}
 	return v
 }
 
+// proofOf returns the proof that a peer states, by its revision and its age.
+func proofOf(now clock.Milli, rev schema.Version, age clock.Milli) watch.Proof {
+	if age < 0 {
+		return watch.Proof{Rev: rev, At: clock.Never}
+	}
+	return watch.Proof{Rev: rev, At: now - age}
+}
+
 // view returns the daemon's own view. The caller holds d.mu.
 func (d *Daemon) view(now clock.Milli) watch.View {
 	v := watch.View{Revs: d.core.Replica().Revs(), Sums: d.core.Replica().Sums()}
 	v.ConfigVersion, _ = d.configVersion()
 	for t := range fleet.Topics {
-		v.Grounded[t], v.Confirmed[t] = d.reader.Grounded(t), now-d.reader.Age(now, t)
+		v.Grounded[t], v.Confirmed[t], v.Proofs[t] = d.reader.Grounded(t), now-d.reader.Age(now, t), d.reader.Proof(t)
 	}
 	return v
 }
@@ -39,6 +48,9 @@
 	d.membership.RecordView(from, theirs)
 	behind := false
 	for t := range fleet.Topics {
+		if theirs.Grounded[t] && own.Revs[t] == theirs.Revs[t] && own.Sums[t] == theirs.Sums[t] {
+			d.adoptProof(t, theirs.Proofs[t], string(s.ID))
+		}
 		switch {
 		case own.Differs(&theirs, t):
 			d.logDifference(s.ID, &own, &theirs, t)
@@ -54,6 +66,16 @@
 	return behind
 }
 
+// adoptProof records a proof of a topic that a peer has and this daemon's replica meets.
+// The caller holds d.mu.
+func (d *Daemon) adoptProof(t fleet.Topic, p watch.Proof, from string) {
+	before := d.reader.Proof(t)
+	d.reader.AdoptProof(t, p)
+	if d.reader.Proof(t) != before {
+		d.provedBy[t] = from
+	}
+}
+
 // logDifference counts and logs that a peer holds other objects of a topic than this
 // daemon although both are complete up to the same revision. The caller holds d.mu.
 func (d *Daemon) logDifference(peer schema.VMID, own, theirs *watch.View, t fleet.Topic) {
@@ -71,6 +93,7 @@
 		b := PeerBelief{
 			ID: p.ID, DataCentre: p.DataCentre, Silence: now - p.Heard(),
 			ConfigVersion: v.ConfigVersion, ConfigRev: v.Revs[fleet.Config], ConfigAge: wireAge(now - v.Confirmed[fleet.Config]),
+			TargetsRev: v.Revs[fleet.Targets], TargetsProved: v.Proofs[fleet.Targets].Rev, TargetsProofAge: wireAge(now - v.Proofs[fleet.Targets].At),
 		}
 		for t := range fleet.Topics {
 			if own.Differs(v, t) {
--- a/internal/entry/views_test.go
+++ b/internal/entry/views_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/watch"
 	"coltsfootdock/internal/protocol/digest"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
@@ -52,6 +53,34 @@
 	require.Contains(t, f.log.String(), "config: version=1 table=2 before=0 revision=3 from=store")
 	require.Contains(t, f.log.String(), "views: topic=config revision=3 differs from peer=vm-2")
 	require.Contains(t, f.log.String(), "reason=opened version=1 table=2 config=3/")
+	require.Regexp(t, `proved=3/\d+ms/store entry=\d+/\d+ms`, f.log.String())
+}
+
+// TestProofIsNamedApartFromTheClaim guards against views that only claim to be complete:
+// nothing would tell them from those that were shown to be (DRAIN, incident 38).
+func TestProofIsNamedApartFromTheClaim(t *testing.T) {
+	f := newFixture(t)
+	f.deploy()
+	f.readTopics(t, fleet.Targets, fleet.Config, fleet.Outs)
+	d := f.daemon
+	rev := d.core.Replica().Rev(fleet.Targets)
+	d.mu.Lock()
+	now := d.clock.Now()
+	d.finishRead(now, watch.Call{Topic: fleet.Targets, Since: rev, Wait: 1}, &fleet.Update{Topic: fleet.Targets, Since: rev, Rev: rev + 4}, nil)
+	d.mu.Unlock()
+	b := d.belief(netip.AddrPort{}).Topics[fleet.Targets]
+	require.Equal(t, rev+4, b.Rev)
+	require.Equal(t, rev, b.Proved)
+	require.Equal(t, "store", b.ProvedBy)
+	s := f.peerSummary(1)
+	require.EqualValues(t, 4, s.Topics[fleet.Targets].Unproved)
+	s.Topics[fleet.Targets].Unproved = 1
+	d.handleSummary(netip.MustParseAddrPort("127.0.0.2:7720"), s)
+	b = d.belief(netip.AddrPort{}).Topics[fleet.Targets]
+	require.Equal(t, rev+3, b.Proved, "a peer with the same objects has proved more")
+	require.Equal(t, "vm-2", b.ProvedBy)
+	s.Topics[fleet.Targets].Unproved = rev + 5
+	require.Error(t, s.Check())
 }
 
 // A version that can't be read must be named in the log however many lines other
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -43,6 +43,12 @@
 	// Grounded is set if these rest on a current list of the store. Otherwise the
 	// revision promises nothing.
 	Grounded bool
+	// Unproved is by how much the revision exceeds the one up to which the sender's
+	// replica was shown to be complete.
+	Unproved schema.Version
+	// ProofAge is the age of the state of the store that the replica was shown to
+	// hold, in milliseconds; negative if there is none.
+	ProofAge clock.Milli
 }
 
 // Neighbour is another daemon that the sender has heard of.
@@ -99,6 +105,11 @@
 			return Invalid.New("summary of %q: dead target %08x has a negative age of %d ms", s.ID, uint32(x.Code), x.Age)
 		}
 	}
+	for t, x := range s.Topics {
+		if x.Unproved > x.Rev {
+			return Invalid.New("summary of %q: %d unproved revisions of %s, more than its revision %d", s.ID, x.Unproved, fleet.Topic(t), x.Rev)
+		}
+	}
 	for _, n := range s.Neighbours {
 		if !n.Addr.IsValid() || n.Silence < 0 {
 			return Invalid.New("summary of %q: neighbour %s with a silence of %d ms has an invalid address or a negative silence", s.ID, n.Addr, n.Silence)
@@ -107,6 +118,16 @@
 	return nil
 }
 
+// Proof is what the sender's replica of a topic was shown to hold.
+type Proof struct {
+	_ struct{} `cbor:",toarray"`
+	// Rev is the revision up to which it was shown to be complete, zero if it wasn't.
+	Rev schema.Version
+	// Age is the age of the state of the store that it was shown to hold, in
+	// milliseconds; negative if there is none.
+	Age clock.Milli
+}
+
 // PullResponse holds the updates of the topics that the requester is behind on.
 type PullResponse struct {
 	_       struct{} `cbor:",toarray"`
@@ -115,12 +136,14 @@
 	// current, in milliseconds; negative if it never was, or if the update stops
 	// short of the sender's newest revision.
 	Ages []clock.Milli
+	// Proofs holds, for each update, what its topic was shown to hold at the sender.
+	Proofs []Proof
 }
 
 // Check returns an error that describes the first problem.
 func (r *PullResponse) Check() error {
-	if len(r.Ages) != len(r.Updates) || len(r.Updates) > int(fleet.Topics) {
-		return Invalid.New("pull response has %d updates and %d ages", len(r.Updates), len(r.Ages))
+	if len(r.Ages) != len(r.Updates) || len(r.Proofs) != len(r.Updates) || len(r.Updates) > int(fleet.Topics) {
+		return Invalid.New("pull response has %d updates, %d ages and %d proofs", len(r.Updates), len(r.Ages), len(r.Proofs))
 	}
 	for i := range r.Updates {
 		if r.Updates[i].Topic >= fleet.Topics {
