entry: drains and changes under lost readers, reproduced red

Change: no decision. Daemons can run without sockets, with a clock of their own (clock.WithSource), so that tests run a whole fleet in simulated time, with the real messages. The removed target comes back.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -35,20 +35,34 @@
 // Clock is a monotonic clock that is safe for concurrent use. The zero value is
 // not usable; call New.
 type Clock struct {
-	start time.Time
+	// source returns the time since New.
+	source func() Milli
 	// suspended is the time added by Advance, in milliseconds.
 	suspended atomic.Int64
 }
 
-// New returns a clock that starts at zero.
-func New() *Clock {
-	return &Clock{start: time.Now()}
+// Option sets up a Clock.
+type Option func(*Clock)
+
+// WithSource replaces the operating system's clock in simulations.
+func WithSource(now func() Milli) Option {
+	return func(c *Clock) { c.source = now }
+}
+
+// New returns a clock that starts at zero, unless WithSource is given.
+func New(opts ...Option) *Clock {
+	start := time.Now()
+	c := &Clock{source: func() Milli { return FromDuration(time.Since(start)) }}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Now returns the time since New, plus the time added by Advance. Steps of the
 // wall clock don't affect it.
 func (c *Clock) Now() Milli {
-	return FromDuration(time.Since(c.start)) + Milli(c.suspended.Load())
+	return c.source() + Milli(c.suspended.Load())
 }
 
 // Advance moves the clock on by the time that the VM was suspended, which the
--- /dev/null
+++ b/internal/entry/cluster_test.go
@@ -0,0 +1,446 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/watch"
+	"coltsfootdock/internal/protocol/digest"
+	"coltsfootdock/internal/protocol/object"
+	"coltsfootdock/internal/setup"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// simStep is the time between two ticks of a simulated daemon, a message's delay
+	// and a call's latency.
+	simStep = 25 * clock.Milli(1)
+	// simSettle is how long a simulated fleet takes to start.
+	simSettle = 8 * clock.Second
+	// watchSilence is how long the simulated store's watches hear nothing.
+	watchSilence = clock.Second
+)
+
+// simStore simulates the platform's store.
+type simStore struct {
+	rev     schema.Version
+	targets map[schema.TargetID]fleet.Target
+	version int64
+	outs    map[schema.DataCentreID]schema.Version
+	changes []fleet.Update
+	// silentUntil is until when watches hear nothing. They then answer with the
+	// current revision if passes is set, else with the one that they were asked for.
+	silentUntil clock.Milli
+	passes      bool
+	// kindRevision makes watches answer with the last revision of their topic.
+	kindRevision bool
+	// dropped is the revision before which the history is gone.
+	dropped schema.Version
+}
+
+// put writes a target's entry.
+func (s *simStore) put(id schema.TargetID, draining bool) {
+	s.rev++
+	t := fleet.Target{
+		ID: id, Number: uint64(len(s.targets) + 1), StartedAt: 1, Pool: "desk", Address: netip.MustParseAddrPort("10.9.0.1:80"), DataCentre: "a",
+		Slots: 2, Draining: draining, Rev: s.rev,
+	}
+	if old, ok := s.targets[id]; ok {
+		t.Number = old.Number
+	}
+	s.targets[id] = t
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Targets, Rev: s.rev, Targets: []fleet.Target{t}})
+}
+
+// remove removes a target's entry.
+func (s *simStore) remove(id schema.TargetID) {
+	s.rev++
+	delete(s.targets, id)
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Targets, Rev: s.rev, Gone: []fleet.Removal{{Name: string(id), Rev: s.rev}}})
+}
+
+// configure writes a new version of the configuration.
+func (s *simStore) configure() {
+	s.rev++
+	s.version++
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Config, Rev: s.rev, Table: &fleet.Table{Version: s.version, Rev: s.rev}})
+}
+
+// takeOut marks a data centre out.
+func (s *simStore) takeOut(dc schema.DataCentreID) {
+	s.rev++
+	s.outs[dc] = s.rev
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Outs, Rev: s.rev, Outs: []fleet.Out{{DataCentre: dc, Rev: s.rev}}})
+}
+
+// list answers a list.
+func (s *simStore) list(t fleet.Topic) *fleet.Update {
+	u := &fleet.Update{Topic: t, Full: true, Rev: s.rev}
+	switch t {
+	case fleet.Targets:
+		for _, x := range s.targets {
+			u.Targets = append(u.Targets, x)
+		}
+	case fleet.Config:
+		for _, x := range s.changes {
+			if x.Topic == fleet.Config {
+				u.Table = x.Table
+			}
+		}
+	case fleet.Outs:
+		for dc, rev := range s.outs {
+			u.Outs = append(u.Outs, fleet.Out{DataCentre: dc, Rev: rev})
+		}
+	}
+	return u
+}
+
+// watch answers a call for changes.
+func (s *simStore) watch(now clock.Milli, c watch.Call) (*fleet.Update, error) {
+	u := &fleet.Update{Topic: c.Topic, Since: c.Since, Rev: s.rev}
+	if c.Since < s.dropped {
+		return u, object.Compacted.New("changes since %d are gone", c.Since)
+	}
+	if now < s.silentUntil {
+		if !s.passes {
+			u.Rev = c.Since
+		}
+		return u, nil
+	}
+	last := c.Since
+	for _, x := range s.changes {
+		if x.Topic == c.Topic && x.Rev > c.Since {
+			u.Targets = append(u.Targets, x.Targets...)
+			u.Gone = append(u.Gone, x.Gone...)
+			last = x.Rev
+		}
+	}
+	if s.kindRevision {
+		u.Rev = last
+	}
+	return u, nil
+}
+
+// answer answers a call that has lasted for a time; nil if it still waits.
+func (s *simStore) answer(now clock.Milli, c watch.Call, lasted clock.Milli) (*fleet.Update, error) {
+	if c.List {
+		return s.list(c.Topic), nil
+	}
+	u, err := s.watch(now, c)
+	if err == nil && len(u.Targets)+len(u.Gone) == 0 && lasted < c.Wait {
+		return nil, nil
+	}
+	return u, err
+}
+
+// simDaemon is a daemon in the simulation.
+type simDaemon struct {
+	*Daemon
+	call  *watch.Call
+	began clock.Milli
+	// returns is when a lost daemon starts again, zero while it runs.
+	returns clock.Milli
+	// undisturbed is set if the daemon was never lost.
+	undisturbed bool
+}
+
+// message is a summary on its way.
+type message struct {
+	from, to netip.AddrPort
+	data     []byte
+}
+
+// sim runs daemons, with all that they decide, before a simulated store, network and
+// clock.
+type sim struct {
+	t        *testing.T
+	now      clock.Milli
+	store    simStore
+	bounds   setup.Bounds
+	daemons  []*simDaemon
+	messages []message
+	starts   uint64
+	// cut is set while no daemon reaches another.
+	cut bool
+}
+
+// boundsOf returns the bounds of a deployment by its bound for drains and versions.
+func boundsOf(bound clock.Milli) setup.Bounds {
+	return setup.Bounds{Apply: bound, Drain: bound, Out: 5 * clock.Second, Grace: 6 * clock.Second, FlowLife: clock.Minute}
+}
+
+// newSim returns a fleet that has settled, with 12 targets and a configuration.
+func newSim(t *testing.T, n int, bound clock.Milli) *sim {
+	s := &sim{t: t, bounds: boundsOf(bound), store: simStore{rev: 10, targets: map[schema.TargetID]fleet.Target{}, outs: map[schema.DataCentreID]schema.Version{}}}
+	for i := range 12 {
+		s.store.put(targetID(i), false)
+	}
+	s.store.configure()
+	for i := range n {
+		d := &simDaemon{undisturbed: true}
+		s.daemons = append(s.daemons, d)
+		s.start(i, d)
+	}
+	s.run(simSettle, nil)
+	return s
+}
+
+func targetID(i int) schema.TargetID { return schema.TargetID(fmt.Sprintf("i-%02x", i)) }
+
+func simAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7720)
+}
+
+// start starts the daemon of an index.
+func (s *sim) start(i int, d *simDaemon) {
+	s.starts++
+	cfg := &setup.Entry{
+		ID: schema.VMID(fmt.Sprintf("vm-%d", i)), DataCentre: schema.DataCentreID([]string{"a", "b", "c"}[i%3]), Peer: simAddr(i),
+		Seeds: []netip.Addr{simAddr(0).Addr(), simAddr(1).Addr()}, Bounds: s.bounds,
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d.Daemon = newDaemon(cfg, PlatformAdapter{}, log, clock.New(clock.WithSource(func() clock.Milli { return s.now })), s.starts*37)
+	s.t.Cleanup(d.log.close)
+	d.call, d.returns = nil, 0
+	d.sendToPeer = func(data []byte, to netip.AddrPort) {
+		s.messages = append(s.messages, message{from: cfg.Peer, to: to, data: data})
+	}
+}
+
+// run lets a time pass and calls each after each step.
+func (s *sim) run(d clock.Milli, each func()) {
+	for end := s.now + d; s.now < end; {
+		s.now += simStep
+		s.deliver()
+		for i, x := range s.daemons {
+			if x.returns != 0 && s.now >= x.returns {
+				s.start(i, x)
+			}
+			if x.returns == 0 {
+				s.step(x)
+			}
+		}
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// step lets a daemon do what is due.
+func (s *sim) step(d *simDaemon) {
+	d.mu.Lock()
+	d.tick()
+	if d.call != nil {
+		if u, err := s.store.answer(s.now, *d.call, s.now-d.began); u != nil {
+			c := *d.call
+			d.call = nil
+			if next, ok := d.finishRead(d.began, c, u, err); ok {
+				d.call, d.began = &next, s.now
+			}
+		}
+	}
+	d.mu.Unlock()
+	select {
+	case c := <-d.storeCalls:
+		d.call, d.began = &c, s.now
+	default:
+	}
+	select {
+	case from := <-d.pullQueue:
+		s.pull(d, from)
+	default:
+	}
+}
+
+// pull makes a pull from a peer, as its wire form carries it.
+func (s *sim) pull(d *simDaemon, from netip.AddrPort) {
+	p := d.newPull(from)
+	peer := s.at(from)
+	if peer == nil || s.cut {
+		return
+	}
+	data, err := digest.Encode(peer.updatesSince(p.revs, p.removed, p.full))
+	require.NoError(s.t, err)
+	n, err := digest.Decode[digest.PullResponse](data)
+	require.NoError(s.t, err)
+	d.finishPull(p, n)
+}
+
+// at returns the running daemon with an address, nil if there is none.
+func (s *sim) at(a netip.AddrPort) *simDaemon {
+	for i, d := range s.daemons {
+		if simAddr(i) == a && d.returns == 0 {
+			return d
+		}
+	}
+	return nil
+}
+
+func (s *sim) deliver() {
+	list := s.messages
+	s.messages = nil
+	for _, m := range list {
+		d := s.at(m.to)
+		if d == nil || s.cut {
+			continue
+		}
+		x, err := digest.Decode[digest.Summary](m.data)
+		require.NoError(s.t, err)
+		d.handleSummary(m.from, x)
+	}
+}
+
+// lose ends the first n daemons by rank without a word. They start again after away.
+func (s *sim) lose(n int, away clock.Milli) {
+	var running []*simDaemon
+	for _, d := range s.daemons {
+		if d.returns == 0 {
+			running = append(running, d)
+		}
+	}
+	slices.SortStableFunc(running, func(x, y *simDaemon) int { return x.membership.Rank(s.now) - y.membership.Rank(s.now) })
+	for _, d := range running[:min(n, len(running)-1)] {
+		d.returns, d.undisturbed = s.now+away, false
+	}
+}
+
+// unaware returns the daemons that were never lost and don't know something.
+func (s *sim) unaware(knows func(r *fleet.Replica) bool) []schema.VMID {
+	var list []schema.VMID
+	for _, d := range s.daemons {
+		if d.undisturbed && !knows(d.core.Replica()) {
+			list = append(list, d.cfg.ID)
+		}
+	}
+	return list
+}
+
+// drained returns a check that a target takes no new flows.
+func drained(id schema.TargetID) func(r *fleet.Replica) bool {
+	return func(r *fleet.Replica) bool {
+		e := r.Entry(id)
+		return e != nil && (e.Gone || e.Target.Draining)
+	}
+}
+
+// deployments are sizes and bounds of deployments: messages go to all of up to 11
+// daemons, to samples of more.
+var deployments = []struct {
+	daemons int
+	bound   clock.Milli
+	// lost and after are how many of the first ranks are lost how long after a change.
+	lost  []int
+	after []clock.Milli
+}{
+	{7, 3 * clock.Second, []int{0, 1, 2, 3, 5}, []clock.Milli{200, 550, 900, 1250, 1600}},
+	{18, 3 * clock.Second, []int{0, 1, 3, 9}, []clock.Milli{200, 550, 900, 1250, 1600}},
+	{18, 5 * clock.Second, []int{0, 1, 3, 9}, []clock.Milli{200, 550, 900, 1250, 1600}},
+	{18, 6 * clock.Second, []int{0, 1, 3, 9}, []clock.Milli{200, 550, 900, 1250, 1600}},
+	{69, 5 * clock.Second, []int{1, 3, 30}, []clock.Milli{200, 900, 1600}},
+}
+
+// forEachLoss runs a scenario for each deployment and each loss of first ranks.
+func forEachLoss(t *testing.T, scenario func(s *sim, bound clock.Milli, lost int, after clock.Milli)) {
+	for _, x := range deployments {
+		for _, lost := range x.lost {
+			for _, after := range x.after {
+				t.Run(fmt.Sprintf("%d daemons, %d ms, %d lost after %d ms", x.daemons, x.bound, lost, after), func(t *testing.T) {
+					t.Parallel()
+					scenario(newSim(t, x.daemons, x.bound), x.bound, lost, after)
+				})
+			}
+		}
+	}
+}
+
+// awayTime is how long lost daemons stay away: longer than every bound.
+const awayTime = 8 * clock.Second
+
+// TestDrainIsInForceThoughReadersAreLost guards against a target that gets new flows for
+// seconds after it said that it leaves: the watches were silent, and the daemons that
+// knew of this were lost one after the other (DRAIN, incident 38).
+func TestDrainIsInForceThoughReadersAreLost(t *testing.T) {
+	forEachLoss(t, func(s *sim, bound clock.Milli, lost int, after clock.Milli) {
+		s.store.passes, s.store.silentUntil = true, s.now+watchSilence
+		s.store.put("i-05", true)
+		s.run(after, nil)
+		s.lose(lost, awayTime)
+		s.run(bound-after, nil)
+		require.Empty(s.t, s.unaware(drained("i-05")), "a bound after the drain")
+	})
+}
+
+// TestLateNewsReachPeersBetweenOtherChanges guards against a drain that the reader hears
+// late, by a second look, and that its peers miss, as they have passed its revision and
+// other changes follow each other (DRAIN, incident 38).
+func TestLateNewsReachPeersBetweenOtherChanges(t *testing.T) {
+	forEachLoss(t, func(s *sim, bound clock.Milli, lost int, after clock.Milli) {
+		s.store.passes, s.store.silentUntil = true, s.now+watchSilence
+		s.store.put("i-05", true)
+		drainedAt, changedAt := s.now, s.now
+		s.run(bound, func() {
+			if s.now-changedAt >= 100 {
+				changedAt = s.now
+				s.store.put(targetID(100+int(s.now/100)), false)
+			}
+			if s.now == drainedAt+after {
+				s.lose(lost, awayTime)
+			}
+		})
+		require.Empty(s.t, s.unaware(drained("i-05")), "a bound after the drain")
+	})
+}
+
+// TestChangesAreInForceThoughReadersAreLost guards against a configuration and an
+// evacuation that watches don't tell and nobody lists for longer than the bound, as the
+// daemon that listed them is lost just before it would again (CONFIG and EVAC, incident
+// 38).
+func TestChangesAreInForceThoughReadersAreLost(t *testing.T) {
+	forEachLoss(t, func(s *sim, bound clock.Milli, lost int, after clock.Milli) {
+		s.store.kindRevision = true
+		s.run(clock.Second, nil)
+		s.store.configure()
+		s.store.takeOut("b")
+		s.run(after, nil)
+		s.lose(lost, awayTime)
+		s.run(bound-after, nil)
+		require.Empty(s.t, s.unaware(func(r *fleet.Replica) bool { return r.Table().Version == s.store.version }), "a bound after the new version")
+		s.run(max(0, s.bounds.Out-bound), nil)
+		require.Empty(s.t, s.unaware(func(r *fleet.Replica) bool { out, _ := r.Out("b"); return out }), "a bound after the mark")
+	})
+}
+
+// TestRemovedTargetStaysRemoved guards against a target that was removed and comes back
+// at a daemon that never had it, from a peer that missed the removal: neither sees a
+// difference then (DRAIN, incident 38).
+func TestRemovedTargetStaysRemoved(t *testing.T) {
+	s := newSim(t, 2, 3*clock.Second)
+	s.cut = true
+	s.lose(1, simStep)
+	s.run(simStep, nil)
+	s.store.passes, s.store.silentUntil = true, s.now+clock.Minute
+	s.store.remove("i-05")
+	late, early := s.daemons[0], s.daemons[1]
+	if late.undisturbed {
+		late, early = early, late
+	}
+	s.run(simSettle, nil)
+	require.True(t, late.reader.Grounded(fleet.Targets))
+	require.Nil(t, late.core.Replica().Entry("i-05"))
+	require.False(t, early.core.Replica().Entry("i-05").Gone)
+	s.cut = false
+	s.run(clock.Second, func() {
+		e := late.core.Replica().Entry("i-05")
+		require.True(t, e == nil || e.Gone, "taken from a peer that missed the removal")
+	})
+	require.True(t, early.core.Replica().Entry("i-05").Gone, "the peer learns of the removal")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,24 +119,35 @@
 	lastConfigErrors string
 	dataPlane        *edge.Plane
 	peerConn         *sock.UDP
-	readyListener    net.Listener
-	pullListener     net.Listener
-	metricsListener  net.Listener
-	storeCalls       chan watch.Call
-	pullQueue        chan netip.AddrPort
-	probeQueue       chan steer.Probe
-	leave            chan struct{}
-	leaveOnce        sync.Once
-	store            *object.Client
+	// sendToPeer sends a message to a peer.
+	sendToPeer      func(data []byte, to netip.AddrPort)
+	readyListener   net.Listener
+	pullListener    net.Listener
+	metricsListener net.Listener
+	storeCalls      chan watch.Call
+	pullQueue       chan netip.AddrPort
+	probeQueue      chan steer.Probe
+	leave           chan struct{}
+	leaveOnce       sync.Once
+	store           *object.Client
 }
 
 // New opens the sockets of a daemon. Call Serve to run it.
 func New(cfg *setup.Entry, adapter PlatformAdapter, log *logrus.Logger) (*Daemon, error) {
-	incarnation := uint64(time.Now().UnixNano())
+	d := newDaemon(cfg, adapter, log, clock.New(), uint64(time.Now().UnixNano()))
+	if err := d.listen(); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+// newDaemon returns a daemon without sockets. The incarnation differs between the
+// starts of daemons.
+func newDaemon(cfg *setup.Entry, adapter PlatformAdapter, log *logrus.Logger, c *clock.Clock, incarnation uint64) *Daemon {
 	d := &Daemon{
 		cfg:                cfg,
 		adapter:            adapter,
-		clock:              clock.New(),
+		clock:              c,
 		suspendMeter:       clock.NewSuspendMeter(),
 		core:               steer.New(cfg.DataCentre, incarnation),
 		reader:             watch.New(tightestBound(cfg.Bounds), incarnation),
@@ -154,6 +165,7 @@
 		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
 		store:              object.NewClient("http://" + cfg.Store.String()),
 	}
+	d.sendToPeer = d.send
 	d.metrics = newInstruments(d)
 	d.log = newAsyncLog(log, string(cfg.ID), d.metrics)
 	d.membership = watch.NewPeerSet(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
@@ -165,10 +177,7 @@
 	loaded := *cfg
 	d.loaded = &loaded
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.membership.Admits(d.lastTick, code) }, 1, d.membership.Sharers(d.lastTick))
-	if err := d.listen(); err != nil {
-		return nil, errors.Join(err, d.Close())
-	}
-	return d, nil
+	return d
 }
 
 // topicBounds returns the time within which a change of each topic must be in force.
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -35,13 +35,13 @@
 		if dc, remote := d.membership.RemoteDataCentre(to); remote {
 			part := *s
 			part.Loads = d.core.LoadsIn(dc, s.Loads)
-			d.send(encodeSummary(&part), to)
+			d.sendToPeer(encodeSummary(&part), to)
 			continue
 		}
 		if local == nil {
 			local = encodeSummary(s)
 		}
-		d.send(local, to)
+		d.sendToPeer(local, to)
 	}
 }
 
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -74,12 +74,17 @@
 	if err != nil {
 		return err
 	}
+	d.finishPull(p, n)
+	return nil
+}
+
+// finishPull applies the peer's response to a pull.
+func (d *Daemon) finishPull(p *pull, n *digest.PullResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range n.Updates {
 		d.applyPulled(p, &n.Updates[i], n.Ages[i], n.Proofs[i])
 	}
-	return nil
 }
 
 // newPull returns the pull from a peer that this daemon needs now.
