internal/coordination/watch: changes in doubt stay so until proved, whoever reads

Cause: watches may pass a change without telling it. The reader knew that and asked a second time 1.2 s after each claim, but kept the doubt to itself, and every daemon dropped its own after 2.4 s, while the claim spread to all. If the reader was lost, the next ranks read after 2.15 to 3.15 s of a 5 s bound, asked for changes since the claim and never looked at the gap again; the list each 30 s was put off by 30 s, as they were new readers. All held the same, so nothing compared their views. Change: claims stay in doubt until a proof of this daemon or of a peer that holds the same covers them. A daemon that takes over asks since the proof at once. Ranks one to three ask for changes in doubt if the reader has not after 0.12, 0.17, 0.22 of the bound beyond the watches' silence; proofs are sent to peers at once, so that they needn't. The reader's long poll ends when its second look is due. Why it works: what may be acted on and what was shown are two revisions, and only the second is a base to read from. It now compares with an undisturbed fleet under the same changes: at most one call for two daemons more.

--- a/internal/coordination/watch/check.go
+++ b/internal/coordination/watch/check.go
@@ -1,8 +1,6 @@
 package watch
 
 import (
-	"slices"
-
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/pkg/schema"
@@ -18,18 +16,8 @@
 	// targetsListInterval is the time between two lists of the targets by the
 	// reader.
 	targetsListInterval = 30 * clock.Second
-	// maxClaims bounds the revisions of the targets that wait to be asked for again,
-	// claimRetention how long they wait if this daemon does not read the store.
-	maxClaims      = 32
-	claimRetention = 2 * watchSilence
 )
 
-// claim is a revision of the targets and the time from which it was held.
-type claim struct {
-	at  clock.Milli
-	rev schema.Version
-}
-
 // checks is what a reader remembers to tell changes that no watch told.
 type checks struct {
 	// listed is when the last current list of each topic began, Never if there was
@@ -39,9 +27,9 @@
 	// afterList is set if the last read was a list. A poll comes before the next
 	// check, so that checks don't hold up news of the targets.
 	afterList bool
-	// claims are the revisions of the targets that were held since the first of
-	// them, the oldest first. Changes after the first may have to be asked for again.
-	claims []claim
+	// polled is when this daemon's last read of the targets began, Never if there was
+	// none.
+	polled clock.Milli
 }
 
 // checkInterval returns the time between two lists of a topic by the reader.
@@ -76,28 +64,21 @@
 	return r.revs[t] < r.newestRev && now-r.checks.listed[t] >= r.bounds[t]/longPollDivisor
 }
 
-// watchSince returns the revision since which to ask for changes of the targets:
-// the one held, or an older one if watches may not have heard of the changes since.
-func (r *Reader) watchSince(now clock.Milli) schema.Version {
-	if c := r.checks.claims; len(c) > 1 && now-c[1].at >= watchSilence {
-		return c[0].rev
-	}
-	return r.revs[fleet.Targets]
+// doubtOverdue reports whether this daemon asks again for the changes of the targets that
+// are in doubt, as the daemons of lower ranks have not.
+func (r *Reader) doubtOverdue(now clock.Milli) bool {
+	return r.rank != 0 && r.proofs[fleet.Targets].Rev != 0 && len(r.unproved) > 0 && now-r.unproved[0].at >= watchSilence+r.afterRanks(fleet.Targets, doubtTakeoverFraction, doubtTakeoverStepFraction)
 }
 
-// recordClaim records the revision of the targets that is held.
-func (r *Reader) recordClaim(now clock.Milli) {
-	c := r.checks.claims
-	for len(c) > 1 && now-c[1].at > claimRetention {
-		c = c[1:]
-	}
-	if rev := r.revs[fleet.Targets]; len(c) == 0 || c[len(c)-1].rev != rev {
-		if len(c) == maxClaims {
-			c = slices.Delete(c, 1, 2)
-		}
-		c = append(c, claim{now, rev})
+// watchSince returns the revision since which to ask for changes of the targets: the
+// one held, or the proved one if watches may not have heard of the changes since, or if
+// this daemon takes over from another reader, whose second look may be owed.
+func (r *Reader) watchSince(now clock.Milli) schema.Version {
+	proved := r.proofs[fleet.Targets].Rev
+	if proved != 0 && len(r.unproved) > 0 && (now-r.unproved[0].at >= watchSilence || now-r.checks.polled >= watchSilence) {
+		return proved
 	}
-	r.checks.claims = c
+	return r.revs[fleet.Targets]
 }
 
 // recordCheck records a read that began at the given time, other than a stale list.
@@ -108,13 +89,7 @@
 		r.differences[c.Topic].since = began
 		r.checks.due[c.Topic] = began + r.checkInterval(c.Topic)
 	}
-	if c.Topic != fleet.Targets {
-		return
-	}
-	if c.List {
-		r.checks.claims = nil
-	}
-	for len(r.checks.claims) > 1 && c.Since <= r.checks.claims[0].rev && began-r.checks.claims[1].at >= watchSilence {
-		r.checks.claims = r.checks.claims[1:]
+	if c.Topic == fleet.Targets {
+		r.checks.polled = began
 	}
 }
--- a/internal/coordination/watch/cluster_test.go
+++ b/internal/coordination/watch/cluster_test.go
@@ -103,7 +103,7 @@
 func (w *cluster) tick(d *daemon) {
 	d.peers.Forget(w.now)
 	d.reader.SetRank(d.peers.Rank(w.now), d.peers.Alive(w.now) == 0)
-	if d.call != nil && w.now >= d.ends {
+	if d.call != nil && (w.now >= d.ends || w.store.tells(d)) {
 		c := *d.call
 		d.call = nil
 		if w.store.refuses || w.store.down || w.store.silent[d.n] {
@@ -143,6 +143,11 @@
 	}
 }
 
+// tells reports whether the store answers a daemon's call for changes, as there are some.
+func (s *store) tells(d *daemon) bool {
+	return !d.call.List && d.call.Since < s.rev && !s.down && !s.silent[d.n]
+}
+
 // sendSummary sends a summary to its recipients. Peers fetch what they lack at once.
 func (w *cluster) sendSummary(d *daemon) {
 	if d.withoutPeers {
@@ -163,12 +168,16 @@
 			}
 			for t := range d.reader.revs {
 				topic := fleet.Topic(t)
+				if d.reader.revs[t] == x.reader.revs[t] {
+					x.reader.AdoptProof(topic, d.reader.Proof(topic))
+				}
 				more := x.reader.RecordPeerRevision(w.now, topic, d.reader.revs[t], d.reader.confirmed[t])
 				if more && (topic != fleet.Targets || x.reader.revs[t] >= d.historyFloor || x.reader.NeedsSnapshot(w.now, topic)) {
 					if x.reader.revs[t] < d.historyFloor {
 						x.historyFloor = d.reader.revs[t]
 					}
 					x.reader.Advance(topic, d.reader.revs[t], d.reader.confirmed[t])
+					x.reader.AdoptProof(topic, d.reader.Proof(topic))
 				}
 			}
 		}
--- a/internal/coordination/watch/proof.go
+++ b/internal/coordination/watch/proof.go
@@ -15,6 +15,15 @@
 	At  clock.Milli
 }
 
+// maxClaims bounds the revisions of the targets that wait to be proved.
+const maxClaims = 32
+
+// claim is a revision of the targets and the time from which it was held.
+type claim struct {
+	at  clock.Milli
+	rev schema.Version
+}
+
 // noProof is the proof of a replica that rests on no current list.
 var noProof = Proof{At: clock.Never}
 
@@ -33,6 +42,9 @@
 // AdoptProof records a peer's proof of a topic. The replica must hold all that the
 // peer's replica holds.
 func (r *Reader) AdoptProof(t fleet.Topic, p Proof) {
+	if p.Rev > r.proofs[t].Rev {
+		r.announce = true // whoever waits for it would read the store
+	}
 	r.proofs[t] = r.proofs[t].merge(p)
 	r.dropProvedClaims()
 }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -17,13 +17,15 @@
 // the changes before it. Only a current list shows what the store holds. So the
 // reader lists the configuration and the outs instead of watching them, again and
 // again, and asks for changes of the targets a second time once watches must have
-// heard of them.
+// heard of them. Each daemon keeps its Proof apart from its claim and passes both on, so
+// that whoever reads next asks for the changes since the proof.
 //
 // Invariants:
 //   - The age of a topic is never less than the time since the confirming read
 //     began.
 //   - A topic is confirmed only if its replica is grounded: it rests on a current
 //     list, of this daemon or of a peer.
+//   - A claim stays in doubt until it is proved, whoever made it and whoever reads.
 package watch
 
 import (
@@ -44,6 +46,11 @@
 	takeoverFraction     = 0.43
 	takeoverStepFraction = 0.1
 	maxTakeoverRank      = 3
+	// Likewise for changes in doubt, from the time at which the reader should have asked
+	// for them again. A proof takes less to reach all peers than a takeover, as it is
+	// sent at once.
+	doubtTakeoverFraction     = 0.12
+	doubtTakeoverStepFraction = 0.05
 	// If the store has dropped the changes asked for, a daemon waits for a
 	// snapshot from a peer for 1/relistDivisor of the bound, and up to as much
 	// again by its jitter, before it lists the topic.
@@ -165,6 +172,7 @@
 		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
 		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
+		r.checks.polled = clock.Never
 		r.proofs[t] = noProof
 		r.differences[t] = difference{clock.Never, clock.Never, clock.Never}
 	}
@@ -240,15 +248,19 @@
 	if r.rank == 0 {
 		return 0
 	}
-	bound := float64(r.bounds[t])
-	step := bound * takeoverStepFraction * float64(min(r.rank, maxTakeoverRank)-1)
-	return clock.Milli(bound*takeoverFraction+step) + r.jitter
+	return r.afterRanks(t, takeoverFraction, takeoverStepFraction)
+}
+
+// afterRanks returns the time that this daemon leaves to those of lower ranks: a fraction
+// of a topic's bound for the reader, and a step for each further rank.
+func (r *Reader) afterRanks(t fleet.Topic, fraction, step float64) clock.Milli {
+	step *= float64(min(r.rank, maxTakeoverRank) - 1)
+	return clock.Milli(float64(r.bounds[t])*(fraction+step)) + r.jitter
 }
 
 // Next returns the read to make now, if any. The caller must report its end to
 // Done.
 func (r *Reader) Next(now clock.Milli) (Call, bool) {
-	r.recordClaim(now)
 	r.noteClaim(now)
 	if r.inFlight || now < r.lastDone+r.backoff {
 		return Call{}, false
@@ -276,7 +288,7 @@
 	if t, ok := r.lastingDifference(now); ok {
 		return Call{Topic: t, List: true}, true
 	}
-	if !r.overdue(now) || r.awaitsConfirmation(now) {
+	if !r.overdue(now) && !r.doubtOverdue(now) || r.awaitsConfirmation(now) {
 		return Call{}, false
 	}
 	for t := range fleet.Topics {
@@ -297,6 +309,9 @@
 		return Call{}, false
 	}
 	wait := r.bound / longPollDivisor
+	if len(r.unproved) > 0 { // it ends when the second look is due
+		wait = max(immediateWait, min(wait, r.unproved[0].at+watchSilence-now))
+	}
 	if r.rank != 0 || r.confirmed[fleet.Targets] == clock.Never || r.backoff > 0 {
 		wait = immediateWait
 	}
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -275,6 +275,13 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			w := newCluster(n)
 			w.run(6 * clock.Second)
+			w.store.calls = 0
+			for range 50 {
+				w.run(200)
+				w.store.rev++
+			}
+			undisturbed := w.store.calls
+			require.LessOrEqual(t, undisturbed, 50+2*10, "a call for each change, and the lists")
 			w.partitioned = func(x, y schema.DataCentreID) bool { return x != "c" && y != "c" && x != y }
 			before, cutOffCount := w.store.calls, 0
 			for range 50 {
@@ -298,7 +305,7 @@
 				}
 				require.LessOrEqual(t, admitters, 2, "at most two admitters, of half the rate each")
 			}
-			require.LessOrEqual(t, w.store.calls-before, 4*10+n/2)
+			require.LessOrEqual(t, w.store.calls-before, undisturbed+n/2)
 		})
 	}
 }
