entry, fleet: pulls ask since what was shown, absence counts up to there

A daemon asked a peer for the changes since the revision that it claimed. What the reader heard late, by a second look, lies below that revision, so peers got it only if two of them compared their sums at one revision; while other targets change, they rarely are. Change: pulls ask since the proof. A pull that asks for removals too gets the whole topic if the changes are gone (it needed a second pull). The watches' silence has a margin of 100 ms, not 200. Why it works: whatever is found late lies after the proof, so each pull brings it. TestBooksConverge states the proofs of the store's answers; 20,000 checks.

--- a/internal/coordination/watch/check.go
+++ b/internal/coordination/watch/check.go
@@ -12,7 +12,7 @@
 	checkDivisor = 2
 	// watchSilence is how long watches may hear nothing while changes are made: a
 	// second, and a margin.
-	watchSilence = 1200 * clock.Milli(1)
+	watchSilence = 1100 * clock.Milli(1)
 	// targetsListInterval is the time between two lists of the targets by the
 	// reader.
 	targetsListInterval = 30 * clock.Second
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -54,10 +54,10 @@
 // pull is one pull of the updates that this daemon lacks from a peer.
 type pull struct {
 	from netip.AddrPort
-	// revs are the revisions since which changes are asked for, zero for a snapshot.
-	revs [fleet.Topics]schema.Version
+	// since are the revisions since which changes are asked for, zero for a snapshot.
+	since [fleet.Topics]schema.Version
 	// merges is set for the topics of which the peer holds other objects at the same
-	// revision: what both know counts.
+	// revision, so that it confirms nothing.
 	merges [fleet.Topics]bool
 	// removed asks for removed targets too, full for a snapshot if the peer does not
 	// have the changes.
@@ -83,7 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range n.Updates {
-		d.applyPulled(p, &n.Updates[i], n.Ages[i], n.Proofs[i])
+		d.applyPulled(p, &n.Updates[i], n.Ages[i], n.ProofAges[i])
 	}
 }
 
@@ -93,14 +93,12 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	p := &pull{
-		from: from, revs: d.core.Replica().Revs(), removed: !d.removalsPulled, full: d.reader.NeedsSnapshot(now, fleet.Targets), began: now,
+		from: from, removed: !d.removalsPulled, full: d.reader.NeedsSnapshot(now, fleet.Targets), began: now,
 	}
 	own, theirs := d.view(now), d.membership.ViewOf(from)
 	for t := range fleet.Topics {
 		p.merges[t] = theirs != nil && own.Differs(theirs, t)
-		if p.merges[t] || !own.Grounded[t] {
-			p.revs[t] = 0 // changes alone would not make the replica complete
-		}
+		p.since[t] = own.Proofs[t].Rev // what is claimed beyond it may lack changes that the peer has
 	}
 	return p
 }
@@ -114,7 +112,7 @@
 	if p.full {
 		q.Set(fullKey, "1")
 	}
-	for t, rev := range p.revs {
+	for t, rev := range p.since {
 		q.Set(fleet.Topic(t).String(), rev.String())
 	}
 	return "http://" + p.from.String() + pullPath + "?" + q.Encode()
@@ -143,9 +141,9 @@
 
 // applyPulled applies one update of a pull. Age is that of its topic at the peer,
 // negative if the peer's view is not confirmed. The caller holds d.mu.
-func (d *Daemon) applyPulled(p *pull, u *fleet.Update, age clock.Milli, proof digest.Proof) {
-	if u.Since == 0 && (age < 0 || p.merges[u.Topic]) {
-		u.Full = false // what it does not list may exist
+func (d *Daemon) applyPulled(p *pull, u *fleet.Update, age, proofAge clock.Milli) {
+	if u.Proved <= d.reader.Proof(u.Topic).Rev {
+		u.Proved = 0 // it shows nothing that this daemon lacks
 	}
 	d.apply(d.clock.Now(), u, p.from.String())
 	d.removalsPulled = d.removalsPulled || u.Topic == fleet.Targets && p.removed
@@ -153,8 +151,8 @@
 	if u.Rev <= d.core.Replica().Rev(u.Topic) && age >= 0 && !p.merges[u.Topic] {
 		confirmed = p.began - age
 	}
-	if confirmed != clock.Never && (u.Full || u.Since <= d.reader.Proof(u.Topic).Rev) {
-		d.adoptProof(u.Topic, proofOf(p.began, proof.Rev, proof.Age), p.from.String())
+	if u.Proved != 0 && (u.Full || u.Since <= d.reader.Proof(u.Topic).Rev) {
+		d.adoptProof(u.Topic, proofOf(p.began, u.Proved, proofAge), p.from.String())
 	}
 	d.reader.Advance(u.Topic, u.Rev, confirmed)
 }
@@ -204,12 +202,14 @@
 	for t := range since {
 		topic := fleet.Topic(t)
 		replica := d.core.Replica()
+		lacks := since[t] != 0 && !replica.HasChangesSince(topic, since[t])
+		tooMany := lacks && !full && replica.Len(topic) > maxUnaskedFull
 		switch {
 		case since[t] != 0 && !d.reader.Grounded(topic):
 			continue // the requester may know more
-		case removed && topic == fleet.Targets && since[t] != 0 && replica.Rev(topic) != 0:
+		case removed && topic == fleet.Targets && since[t] != 0 && replica.Rev(topic) != 0 && (!lacks || tooMany || replica.Rev(topic) <= since[t]):
 			n.Updates = append(n.Updates, replica.SinceWithRemovals(now, since[t]))
-		case replica.Rev(topic) <= since[t], since[t] != 0 && !full && !replica.HasChangesSince(topic, since[t]) && replica.Len(topic) > maxUnaskedFull:
+		case replica.Rev(topic) <= since[t], tooMany:
 			continue
 		default:
 			n.Updates = append(n.Updates, replica.Since(now, topic, since[t]))
@@ -219,7 +219,7 @@
 			age = wireAge(d.reader.Age(now, topic))
 		}
 		n.Ages = append(n.Ages, age)
-		n.Proofs = append(n.Proofs, digest.Proof{Rev: d.reader.Proof(topic).Rev, Age: wireAge(d.reader.ProofAge(now, topic))})
+		n.ProofAges = append(n.ProofAges, wireAge(d.reader.ProofAge(now, topic)))
 	}
 	return n
 }
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -64,6 +64,7 @@
 	d.reader.Done(now, began, c, outcome, rev)
 	if d.reader.Proof(c.Topic) != proof {
 		d.provedBy[c.Topic] = fromStore
+		d.core.Replica().Prove(c.Topic, d.reader.Proof(c.Topic).Rev)
 	}
 	if outcome == watch.Read {
 		d.noteStoreSuccess(now)
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -73,6 +73,7 @@
 	d.reader.AdoptProof(t, p)
 	if d.reader.Proof(t) != before {
 		d.provedBy[t] = from
+		d.core.Replica().Prove(t, d.reader.Proof(t).Rev)
 	}
 }
 
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -118,16 +118,6 @@
 	return nil
 }
 
-// Proof is what the sender's replica of a topic was shown to hold.
-type Proof struct {
-	_ struct{} `cbor:",toarray"`
-	// Rev is the revision up to which it was shown to be complete, zero if it wasn't.
-	Rev schema.Version
-	// Age is the age of the state of the store that it was shown to hold, in
-	// milliseconds; negative if there is none.
-	Age clock.Milli
-}
-
 // PullResponse holds the updates of the topics that the requester is behind on.
 type PullResponse struct {
 	_       struct{} `cbor:",toarray"`
@@ -136,16 +126,20 @@
 	// current, in milliseconds; negative if it never was, or if the update stops
 	// short of the sender's newest revision.
 	Ages []clock.Milli
-	// Proofs holds, for each update, what its topic was shown to hold at the sender.
-	Proofs []Proof
+	// ProofAges holds, for each update, the age of the state of the store that its topic
+	// was shown to hold, in milliseconds; negative if there is none.
+	ProofAges []clock.Milli
 }
 
 // Check returns an error that describes the first problem.
 func (r *PullResponse) Check() error {
-	if len(r.Ages) != len(r.Updates) || len(r.Proofs) != len(r.Updates) || len(r.Updates) > int(fleet.Topics) {
-		return Invalid.New("pull response has %d updates, %d ages and %d proofs", len(r.Updates), len(r.Ages), len(r.Proofs))
+	if len(r.Ages) != len(r.Updates) || len(r.ProofAges) != len(r.Updates) || len(r.Updates) > int(fleet.Topics) {
+		return Invalid.New("pull response has %d updates, %d ages and %d ages of proofs", len(r.Updates), len(r.Ages), len(r.ProofAges))
 	}
 	for i := range r.Updates {
+		if u := &r.Updates[i]; u.Proved > u.Rev {
+			return Invalid.New("pull response proves revision %d of topic %d, more than its revision %d", u.Proved, u.Topic, u.Rev)
+		}
 		if r.Updates[i].Topic >= fleet.Topics {
 			return Invalid.New("pull response has an update of unknown topic %d, the last topic is %d", r.Updates[i].Topic, fleet.Topics-1)
 		}
--- a/internal/protocol/object/topic.go
+++ b/internal/protocol/object/topic.go
@@ -42,6 +42,9 @@
 		}
 		all.Errors = append(all.Errors, p.Errors...)
 		if after = p.Next; after == "" {
+			if !stale {
+				all.Update.Proved = all.Update.Rev
+			}
 			return all, nil
 		}
 	}
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -206,11 +206,15 @@
 // Update is a snapshot of one topic, if Full, or else its changes after the
 // revision Since. A replica that applied it is complete up to Rev.
 type Update struct {
-	_       struct{} `cbor:",toarray"`
-	Topic   Topic
-	Full    bool
-	Since   schema.Version
-	Rev     schema.Version
+	_     struct{} `cbor:",toarray"`
+	Topic Topic
+	Full  bool
+	Since schema.Version
+	Rev   schema.Version
+	// Proved is the revision up to which the sender's objects were shown to be those of
+	// the store: an older object that a snapshot does not list is removed. Up to Rev, the
+	// sender only claims to know them.
+	Proved  schema.Version
 	Targets []Target
 	Table   *Table
 	Outs    []Out
--- a/internal/state/fleet/replica.go
+++ b/internal/state/fleet/replica.go
@@ -48,7 +48,9 @@
 // Replica is a daemon's replica of the three topics. It is not safe for concurrent
 // use.
 type Replica struct {
-	revs    [Topics]schema.Version
+	revs [Topics]schema.Version
+	// proved are the revisions up to which the topics were shown to be complete.
+	proved  [Topics]schema.Version
 	targets map[schema.TargetID]*Entry
 	table   *Table
 	outs    map[schema.DataCentreID]outMark
@@ -82,6 +84,17 @@
 // Revs returns the revisions of all topics.
 func (r *Replica) Revs() [Topics]schema.Version { return r.revs }
 
+// Prove records that a topic was shown to be complete up to a revision.
+func (r *Replica) Prove(t Topic, rev schema.Version) { r.proved[t] = max(r.proved[t], rev) }
+
+// isRemoved reports whether an object that this replica does not hold was removed,
+// although an update has it as of a revision: this replica was shown to be complete up to
+// a later one, and the update was not.
+func (r *Replica) isRemoved(u *Update, rev schema.Version) bool {
+	t := u.Topic
+	return rev <= r.proved[t] && u.Proved < r.proved[t] || rev <= r.revs[t] && u.Rev < r.revs[t]
+}
+
 // Table returns the configuration, nil if there is none yet.
 func (r *Replica) Table() *Table { return r.table }
 
@@ -136,13 +149,16 @@
 		// pass them on.
 		r.floors[u.Topic] = max(r.floors[u.Topic], u.Rev)
 	}
+	if u.Full || u.Since <= r.proved[u.Topic] {
+		r.Prove(u.Topic, u.Proved)
+	}
 	r.revs[u.Topic] = max(r.revs[u.Topic], u.Rev)
 	return c
 }
 
 func (r *Replica) applyTargets(now clock.Milli, u *Update, c *Change) {
 	for i := range u.Targets {
-		r.putTarget(now, &u.Targets[i], u.Rev, c)
+		r.putTarget(now, &u.Targets[i], u, c)
 	}
 	for _, g := range u.Gone {
 		r.removeTarget(now, schema.TargetID(g.Name), g.Rev, c)
@@ -162,17 +178,17 @@
 		listed[schema.TargetID(g.Name)] = true
 	}
 	for id, e := range r.targets {
-		if !listed[id] && e.Rev <= u.Rev {
-			r.removeTarget(now, id, max(e.Rev, u.Rev), c)
+		if !listed[id] && e.Rev <= u.Proved {
+			r.removeTarget(now, id, u.Proved, c)
 		}
 	}
 }
 
-// putTarget applies a target of an update that is complete up to the revision upTo.
-func (r *Replica) putTarget(now clock.Milli, t *Target, upTo schema.Version, c *Change) {
+// putTarget applies a target of an update.
+func (r *Replica) putTarget(now clock.Milli, t *Target, u *Update, c *Change) {
 	e := r.targets[t.ID]
-	if e == nil && t.Rev <= r.revs[Targets] && upTo < r.revs[Targets] {
-		return // a newer update did not have the target, so it was removed
+	if e == nil && r.isRemoved(u, t.Rev) {
+		return
 	}
 	if e == nil {
 		r.targets[t.ID] = &Entry{Target: *t, Rev: t.Rev, Since: now}
@@ -228,7 +244,7 @@
 func (r *Replica) applyOuts(now clock.Milli, u *Update, c *Change) {
 	set := func(dc schema.DataCentreID, rev schema.Version, out bool) {
 		m, ok := r.outs[dc]
-		if ok && rev < m.rev || !ok && (!out || rev <= r.revs[Outs] && u.Rev < r.revs[Outs]) {
+		if ok && rev < m.rev || !ok && (!out || r.isRemoved(u, rev)) {
 			return
 		}
 		if m.out != out {
@@ -249,8 +265,8 @@
 		return
 	}
 	for dc, m := range r.outs {
-		if !listed[dc] && m.out && m.rev <= u.Rev {
-			set(dc, u.Rev, false)
+		if !listed[dc] && m.out && m.rev <= u.Proved {
+			set(dc, u.Proved, false)
 		}
 	}
 }
@@ -259,7 +275,7 @@
 // revision since to the state of this one. A full update holds the whole entries
 // of removed targets, which the other replica may never have had.
 func (r *Replica) Since(now clock.Milli, t Topic, since schema.Version) Update {
-	u := Update{Topic: t, Since: since, Rev: r.revs[t], Full: !r.HasChangesSince(t, since)}
+	u := Update{Topic: t, Since: since, Rev: r.revs[t], Proved: r.proved[t], Full: !r.HasChangesSince(t, since)}
 	if u.Full {
 		since = 0
 	}
