internal/coordination/watch: views that differ are settled by the store at once

Cause: daemons that differ at one revision merged what both knew: one without the tombstone, as its view came from a list, took the removed target up from a peer that had missed the removal. The sums were equal then, and nothing but the list each 30 s settled it. Differences that pulls don't settle waited one to two bounds for a list, later than the rule allows. Why it works: the store alone can tell which of two proofs is false.

--- a/internal/coordination/watch/check_test.go
+++ b/internal/coordination/watch/check_test.go
@@ -156,10 +156,10 @@
 	for topic := range fleet.Topics {
 		r.Advance(topic, 10, now)
 	}
-	require.True(t, r.RecordDifference(now, fleet.Targets), "pull from the peer")
-	require.False(t, r.RecordDifference(now+step, fleet.Targets), "a pull was just made")
+	require.True(t, r.RecordDifference(now, fleet.Targets, Proof{Rev: 9}), "pull from the peer")
+	require.False(t, r.RecordDifference(now+step, fleet.Targets, Proof{Rev: 9}), "a pull was just made")
 	for end := now + bound; now <= end; now += 250 {
-		r.RecordDifference(now, fleet.Targets)
+		r.RecordDifference(now, fleet.Targets, Proof{Rev: 9})
 		for topic := range fleet.Topics {
 			r.Advance(topic, 10, now)
 		}
@@ -170,7 +170,7 @@
 	r.Done(now, now, c, Read, 10)
 	_, ok = r.Next(now + bound/4)
 	require.False(t, ok)
-	r.RecordDifference(now, fleet.Config)
+	r.RecordDifference(now, fleet.Config, Proof{Rev: 9})
 	_, ok = r.Next(now + bound/4)
 	require.False(t, ok, "peers may settle it yet")
 }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -174,7 +174,7 @@
 		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
 		r.checks.polled = clock.Never
 		r.proofs[t] = noProof
-		r.differences[t] = difference{clock.Never, clock.Never, clock.Never}
+		r.differences[t] = difference{since: clock.Never, reported: clock.Never, pulled: clock.Never}
 	}
 	r.SetBounds(r.bounds)
 	return r
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -54,7 +54,7 @@
 		switch {
 		case own.Differs(&theirs, t):
 			d.logDifference(s.ID, &own, &theirs, t)
-			behind = d.reader.RecordDifference(now, t) || behind
+			behind = d.reader.RecordDifference(now, t, theirs.Proofs[t]) || behind
 		case theirs.Grounded[t] && !own.Grounded[t] && own.Sums[t] != theirs.Sums[t]:
 			behind = true
 		case theirs.Grounded[t]:
