internal/coordination/watch: passing an age on doesn't make it younger

Cause: a summary states how long ago a read confirmed the view, without the time that the message takes on its way and in queues. Each daemon keeps the youngest report and passes it on, so one read's time goes round between peers and gets younger by the delay with each exchange, more with a daemon that is short of processor. After the reader is lost the ages rise too slowly: the next ranks take over late, and Fresh counts an old view as current. Change: a peer's report counts only if it is later than what is known by more than an eighth of the bound, as two reads are; own reads count as they are. Why it works: delays of one read's report stay below that step, so they don't add up.

--- a/internal/coordination/watch/progress.go
+++ b/internal/coordination/watch/progress.go
@@ -68,12 +68,25 @@
 	if !r.grounded[t] {
 		return
 	}
-	if at-r.confirmed[t] > r.bound/announceDivisor {
+	if r.isLater(at, r.confirmed[t]) {
 		r.announce = true
 	}
 	r.confirmed[t] = max(r.confirmed[t], at)
 }
 
+// confirmByPeer records a peer's report that a topic was complete at the given time.
+func (r *Reader) confirmByPeer(t fleet.Topic, at clock.Milli) {
+	if r.isLater(at, r.confirmed[t]) {
+		r.confirm(t, at)
+	}
+}
+
+// isLater reports whether a time that a peer reports is that of a later read than a known
+// one.
+func (r *Reader) isLater(reported, known clock.Milli) bool {
+	return reported-known > r.bound/announceDivisor
+}
+
 // TakeChanged reports whether there has been a change since the last call of
 // TakeChanged that peers should get soon.
 func (r *Reader) TakeChanged() bool {
@@ -93,7 +106,7 @@
 		r.grounded[t] = true
 	}
 	r.advance(t, rev)
-	r.confirm(t, began)
+	r.confirmByPeer(t, began)
 }
 
 // advance records that the replica of a topic is complete up to a revision.
@@ -128,7 +141,7 @@
 	}
 	if rev == r.revs[t] {
 		r.grounded[t] = r.grounded[t] || confirmed != clock.Never
-		r.confirm(t, confirmed)
+		r.confirmByPeer(t, confirmed)
 	}
 	return false
 }
--- a/internal/coordination/watch/proof.go
+++ b/internal/coordination/watch/proof.go
@@ -42,6 +42,14 @@
 // AdoptProof records a peer's proof of a topic. The replica must hold all that the
 // peer's replica holds.
 func (r *Reader) AdoptProof(t fleet.Topic, p Proof) {
+	if !r.isLater(p.At, r.proofs[t].At) {
+		p.At = clock.Never
+	}
+	r.prove(t, p)
+}
+
+// prove records a proof of a topic.
+func (r *Reader) prove(t fleet.Topic, p Proof) {
 	if p.Rev > r.proofs[t].Rev {
 		r.announce = true // whoever waits for it would read the store
 	}
@@ -54,9 +62,9 @@
 func (r *Reader) recordProof(began clock.Milli, c Call, rev schema.Version) {
 	switch {
 	case c.List:
-		r.AdoptProof(c.Topic, Proof{rev, began})
+		r.prove(c.Topic, Proof{rev, began})
 	case c.Since <= r.proofs[c.Topic].Rev:
-		r.AdoptProof(c.Topic, Proof{r.claimedBefore(began - watchSilence), began - watchSilence})
+		r.prove(c.Topic, Proof{r.claimedBefore(began - watchSilence), began - watchSilence})
 	}
 }
 
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -59,7 +59,8 @@
 	// minTimeout.
 	timeoutDivisor = 2
 	// An age that shrinks by more than 1/announceDivisor of the bound is sent to
-	// peers at once.
+	// peers at once. Less, in a peer's report, may be the time that messages took, as
+	// daemons pass one read's time on to each other, and changes nothing.
 	announceDivisor = 8
 )
 
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -42,6 +42,8 @@
 	passes      bool
 	// kindRevision makes watches answer with the last revision of their topic.
 	kindRevision bool
+	// down is set while the store answers nothing.
+	down bool
 	// dropped is the revision before which the history is gone.
 	dropped schema.Version
 }
@@ -131,6 +133,9 @@
 
 // answer answers a call that has lasted for a time; nil if it still waits.
 func (s *simStore) answer(now clock.Milli, c watch.Call, lasted clock.Milli) (*fleet.Update, error) {
+	if s.down {
+		return nil, nil
+	}
 	if c.List {
 		u := s.list(c.Topic)
 		if !c.Stale {
@@ -423,6 +428,24 @@
 	})
 }
 
+// TestAgesGrowWithTime guards against ages that stay low as daemons pass them on to each
+// other, each without the time that the message took: nobody takes over from a reader
+// that was lost, and views count as fresh that are not (DRAIN, incident 38).
+func TestAgesGrowWithTime(t *testing.T) {
+	for _, x := range deployments {
+		s := newSim(t, x.daemons, x.bound)
+		s.store.down = true
+		began := s.now
+		s.run(10*clock.Second, nil)
+		for _, d := range s.daemons {
+			for topic := range fleet.Topics {
+				require.GreaterOrEqual(t, d.reader.Age(s.now, topic), s.now-began-x.bound/10, "%d daemons, %s of %s", x.daemons, topic, d.cfg.ID)
+				require.GreaterOrEqual(t, d.reader.ProofAge(s.now, topic), s.now-began-x.bound/10, "proof, %d daemons, %s of %s", x.daemons, topic, d.cfg.ID)
+			}
+		}
+	}
+}
+
 // TestRemovedTargetStaysRemoved guards against a target that was removed and comes back
 // at a daemon that never had it, from a peer that missed the removal: neither sees a
 // difference then (DRAIN, incident 38).
