internal/coordination/watch: reports count from a twentieth of the bound on

With a step of an eighth of the bound, reads that follow each other closely at a start were left out of peers' ages, and rank one read the store needlessly (TestSimultaneousStartsCostLittle/7: a cost of 111, the check says 105). After a pause, a report that had waited hid the true ones (TestPausedDaemonDoubtsItsView). Change: the step is a twentieth of the bound, still above the delays of messages (150 ms at 3 s); from a pause until the view is confirmed by a later read, any later report counts.

--- a/internal/coordination/watch/progress.go
+++ b/internal/coordination/watch/progress.go
@@ -68,7 +68,7 @@
 	if !r.grounded[t] {
 		return
 	}
-	if r.isLater(at, r.confirmed[t]) {
+	if at-r.confirmed[t] > r.bound/announceDivisor {
 		r.announce = true
 	}
 	r.confirmed[t] = max(r.confirmed[t], at)
@@ -84,7 +84,10 @@
 // isLater reports whether a time that a peer reports is that of a later read than a known
 // one.
 func (r *Reader) isLater(reported, known clock.Milli) bool {
-	return reported-known > r.bound/announceDivisor
+	if r.paused {
+		return reported > known
+	}
+	return reported-known > r.bound/reportDivisor
 }
 
 // TakeChanged reports whether there has been a change since the last call of
@@ -155,9 +158,14 @@
 }
 
 // InvalidateAges invalidates all ages after a pause of this process: messages
-// that waited in its queues are older than the ages that they state.
+// that waited in its queues are older than the ages that they state. Until SettleAges,
+// any later report counts, as the ones before may be such messages'.
 func (r *Reader) InvalidateAges() {
+	r.paused = true
 	for t := range r.confirmed {
 		r.confirmed[t] = clock.Never
 	}
 }
+
+// SettleAges ends what InvalidateAges began.
+func (r *Reader) SettleAges() { r.paused = false }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -59,9 +59,12 @@
 	// minTimeout.
 	timeoutDivisor = 2
 	// An age that shrinks by more than 1/announceDivisor of the bound is sent to
-	// peers at once. Less, in a peer's report, may be the time that messages took, as
-	// daemons pass one read's time on to each other, and changes nothing.
+	// peers at once.
 	announceDivisor = 8
+	// An age that is lower by less than 1/reportDivisor of the bound in a peer's report
+	// changes nothing: that may be the time that messages took, as daemons pass one
+	// read's time on to each other.
+	reportDivisor = 20
 )
 
 const (
@@ -161,6 +164,8 @@
 	awaitSince clock.Milli
 	// historyLostAt is the time of the last call with the outcome HistoryLost.
 	historyLostAt clock.Milli
+	// paused is set from a pause of this process until SettleAges.
+	paused bool
 	// jitter, less than jitterRange, spreads the waits and thresholds of daemons.
 	jitter clock.Milli
 }
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -106,6 +106,7 @@
 	confirmed := now - d.reader.Age(now, fleet.Targets)
 	if confirmed > d.resumedAt+queuedSummaries || now-d.resumedAt > doubtTimeout {
 		d.core.SetDoubtful(false)
+		d.reader.SettleAges()
 	}
 }
 
