internal/coordination/watch: lists are due by the age of the last proof

Cause: the reader lists the configuration and the outs each half bound, and it alone knew when. A rank that took over put its first lists off by another half bound, beyond the 0.43 to 0.63 of it that the takeover itself takes. Change: lists are due by the age of the topic's proof, which summaries carry: for the reader after half the bound, for ranks one to three after 0.73 to 0.77, whether or not they read otherwise. A poll doesn't wait while a list is due. Why it works: whoever is left knows how old the last proof is.

--- a/internal/coordination/watch/check.go
+++ b/internal/coordination/watch/check.go
@@ -21,9 +21,11 @@
 // checks is what a reader remembers to tell changes that no watch told.
 type checks struct {
 	// listed is when the last current list of each topic began, Never if there was
-	// none. due is when the next one is due.
+	// none.
 	listed [fleet.Topics]clock.Milli
-	due    [fleet.Topics]clock.Milli
+	// targetsDue is when the targets are to be listed again if this daemon is the
+	// reader.
+	targetsDue clock.Milli
 	// afterList is set if the last read was a list. A poll comes before the next
 	// check, so that checks don't hold up news of the targets.
 	afterList bool
@@ -40,22 +42,49 @@
 	return r.bounds[t] / checkDivisor
 }
 
-// dueCheck returns the topic to list now because it was not listed for a while.
-func (r *Reader) dueCheck(now clock.Milli) (fleet.Topic, bool) {
+// listDueAt returns when this daemon lists a topic that watches may not tell of, other
+// than the targets, unless a proof comes before: the reader after checkInterval, the
+// others later by their rank.
+func (r *Reader) listDueAt(t fleet.Topic, reads bool) clock.Milli {
+	due := r.proofs[t].At + r.checkInterval(t)
+	if reads {
+		return due
+	}
+	return due + r.afterRanks(t, checkTakeoverFraction, checkTakeoverStepFraction)
+}
+
+// dueCheck returns the topic to list now because it was not listed for a while. Reads is
+// set if this daemon reads the store for others.
+func (r *Reader) dueCheck(now clock.Milli, reads bool) (fleet.Topic, bool) {
 	if r.checks.afterList {
 		return 0, false
 	}
-	for t := range fleet.Topics {
-		interval, late := r.checkInterval(t), now-r.checks.due[t]
-		switch {
-		case late < 0:
-		case late > interval && (r.rank != 0 || t == fleet.Targets):
-			r.checks.due[t] = now + interval // another daemon was the reader until now
-		default:
+	for _, t := range []fleet.Topic{fleet.Config, fleet.Outs} {
+		if r.grounded[t] && now >= r.listDueAt(t, reads) {
 			return t, true
 		}
 	}
-	return 0, false
+	switch late := now - r.checks.targetsDue; {
+	case !reads || late < 0:
+		return 0, false
+	case late > targetsListInterval:
+		r.checks.targetsDue = now + targetsListInterval // another daemon was the reader until now
+		return 0, false
+	}
+	return fleet.Targets, true
+}
+
+// pollWait returns how long the reader's next poll may wait for a change: not at all if a
+// list is due, and no longer than until a second look at changes in doubt is.
+func (r *Reader) pollWait(now clock.Milli) clock.Milli {
+	wait := r.longPoll()
+	if now >= min(r.listDueAt(fleet.Config, true), r.listDueAt(fleet.Outs, true)) {
+		wait = 0
+	}
+	if len(r.unproved) > 0 {
+		wait = min(wait, r.unproved[0].at+watchSilence-now)
+	}
+	return max(immediateWait, wait)
 }
 
 // mayHaveChanged reports whether to list a topic, other than the targets, because the
@@ -87,9 +116,11 @@
 	if c.List {
 		r.checks.listed[c.Topic] = began
 		r.differences[c.Topic].since = began
-		r.checks.due[c.Topic] = began + r.checkInterval(c.Topic)
 	}
 	if c.Topic == fleet.Targets {
 		r.checks.polled = began
+		if c.List {
+			r.checks.targetsDue = began + targetsListInterval
+		}
 	}
 }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -51,6 +51,9 @@
 	// sent at once.
 	doubtTakeoverFraction     = 0.12
 	doubtTakeoverStepFraction = 0.05
+	// Likewise for the lists of the configuration and the outs.
+	checkTakeoverFraction     = 0.23
+	checkTakeoverStepFraction = 0.02
 	// If the store has dropped the changes asked for, a daemon waits for a
 	// snapshot from a peer for 1/relistDivisor of the bound, and up to as much
 	// again by its jitter, before it lists the topic.
@@ -177,11 +180,11 @@
 	for t := range r.confirmed {
 		r.bounds[t] = bound
 		r.confirmed[t], r.behindSince[t] = clock.Never, clock.Never
-		r.checks.listed[t], r.checks.due[t] = clock.Never, clock.Never
-		r.checks.polled = clock.Never
+		r.checks.listed[t] = clock.Never
 		r.proofs[t] = noProof
 		r.differences[t] = difference{since: clock.Never, reported: clock.Never, pulled: clock.Never}
 	}
+	r.checks.targetsDue, r.checks.polled = clock.Never, clock.Never
 	r.SetBounds(r.bounds)
 	return r
 }
@@ -294,30 +297,35 @@
 	if t, ok := r.lastingDifference(now); ok {
 		return Call{Topic: t, List: true}, true
 	}
-	if !r.overdue(now) && !r.doubtOverdue(now) || r.awaitsConfirmation(now) {
+	if r.awaitsConfirmation(now) {
 		return Call{}, false
 	}
+	reads := r.overdue(now)
 	for t := range fleet.Topics {
-		if !r.grounded[t] || t != fleet.Targets && r.mayHaveChanged(now, t) {
+		if reads && (!r.grounded[t] || t != fleet.Targets && r.mayHaveChanged(now, t)) {
 			return Call{Topic: t, List: true}, true
 		}
 	}
-	if t, ok := r.dueCheck(now); ok {
+	if t, ok := r.dueCheck(now, reads); ok {
 		return Call{Topic: t, List: true}, true
 	}
-	return r.poll(now)
+	if reads || r.doubtOverdue(now) {
+		return r.poll(now)
+	}
+	return Call{}, false
 }
 
+// longPoll returns how long the store may wait for a change before it answers the
+// reader.
+func (r *Reader) longPoll() clock.Milli { return r.bound / longPollDivisor }
+
 // poll returns the read for changes of the targets, unless the last read ended just
 // now.
 func (r *Reader) poll(now clock.Milli) (Call, bool) {
 	if now-r.lastDone < minReadInterval {
 		return Call{}, false
 	}
-	wait := r.bound / longPollDivisor
-	if len(r.unproved) > 0 { // it ends when the second look is due
-		wait = max(immediateWait, min(wait, r.unproved[0].at+watchSilence-now))
-	}
+	wait := r.pollWait(now)
 	if r.rank != 0 || r.confirmed[fleet.Targets] == clock.Never || r.backoff > 0 {
 		wait = immediateWait
 	}
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -409,6 +409,17 @@
 	})
 }
 
+// untilListed runs the fleet until a list of a topic has just ended.
+func (s *sim) untilListed(t fleet.Topic) {
+	lists := func() bool {
+		return slices.ContainsFunc(s.daemons, func(d *simDaemon) bool { return d.returns == 0 && d.call != nil && d.call.List && d.call.Topic == t })
+	}
+	for !lists() {
+		s.run(simStep, nil)
+	}
+	s.run(simStep, nil)
+}
+
 // TestChangesAreInForceThoughReadersAreLost guards against a configuration and an
 // evacuation that watches don't tell and nobody lists for longer than the bound, as the
 // daemon that listed them is lost just before it would again (CONFIG and EVAC, incident
@@ -417,13 +428,18 @@
 	forEachLoss(t, func(s *sim, bound clock.Milli, lost int, after clock.Milli) {
 		s.store.kindRevision = true
 		s.run(clock.Second, nil)
+		s.untilListed(fleet.Config)
 		s.store.configure()
-		s.store.takeOut("b")
 		s.run(after, nil)
 		s.lose(lost, awayTime)
 		s.run(bound-after, nil)
 		require.Empty(s.t, s.unaware(func(r *fleet.Replica) bool { return r.Table().Version == s.store.version }), "a bound after the new version")
-		s.run(max(0, s.bounds.Out-bound), nil)
+		s.run(awayTime, nil)
+		s.untilListed(fleet.Outs)
+		s.store.takeOut("b")
+		s.run(after, nil)
+		s.lose(lost, awayTime)
+		s.run(s.bounds.Out-after, nil)
 		require.Empty(s.t, s.unaware(func(r *fleet.Replica) bool { out, _ := r.Out("b"); return out }), "a bound after the mark")
 	})
 }
