internal/coordination/steer: a copy opens nothing on a target that leaves

Cause: the copy of a first packet (after 200 and 600 ms) that finds no other target went to the target of the first one, though that drains, is gone or is in a data centre that is out by then. Change: it is dropped. It isn't reset, as that target may have accepted the first one; the client's attempt ends by its own time, and a flow that the target has accepted gets its copies as before. Evidence: TestCopyOpensNothingOnALeavingTarget, red before (both cases), green now. Also looked at: packets that were held are decided when they are released; queued ones belong to open flows. Neither can open one by an older view.

--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -68,10 +68,13 @@
 		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
 	}
 	other, _ := c.choose(now, route, s, t)
-	if other == nil {
-		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
+	switch {
+	case other != nil:
+		return c.openTo(now, s, route, other, CopyOfOpen)
+	case !c.acceptsNew(now, t):
+		return Verdict{Reason: CopyOfOpen, Route: route} // not reset: t may have accepted the first copy
 	}
-	return c.openTo(now, s, route, other, CopyOfOpen)
+	return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
 }
 
 func (c *Core) openTo(now clock.Milli, s *flow.Segment, route *Route, t *Target, reason Reason) Verdict {
--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -36,6 +36,31 @@
 	require.Equal(t, schema.TargetID("i-000001"), c.request().Target.ID)
 }
 
+// TestCopyOpensNothingOnALeavingTarget guards against a first packet's copy that opens a
+// flow on the target of the first one after that was found to leave, as there is no other
+// target (DRAIN, EVAC, incident 38).
+func TestCopyOpensNothingOnALeavingTarget(t *testing.T) {
+	leave := map[string]func(h *harness){
+		"draining": func(h *harness) { h.updateTarget(draining(target(1, "a"))) },
+		"data centre out": func(h *harness) {
+			h.apply(fleet.Update{Topic: fleet.Outs, Since: 1000, Rev: 2000, Outs: []fleet.Out{{DataCentre: "a", Rev: 2000}}})
+		},
+	}
+	for name, f := range leave {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, target(1, "a"))
+			opening, opened := h.open(idempotentAddress), h.open(idempotentAddress).accept()
+			f(h)
+			h.advance(200)
+			require.Equal(t, Drop, opening.retransmitOpen(1).Action, "not reset: the target may have accepted the first one")
+			opened.seq = opening.seq // that of a first packet
+			v := opened.retransmitOpen(1)
+			require.Equal(t, Deliver, v.Action, "the target has the flow")
+			require.Equal(t, schema.TargetID("i-000001"), v.Target.ID)
+		})
+	}
+}
+
 // A data centre is taken out and put back in.
 func TestDataCentreOutGetsNoNewFlows(t *testing.T) {
 	h := newHarness(t, target(1, "a"), target(2, "b"))
