internal/coordination/watch: news of other changes don't put off the list that is owed

Cause: if the store has dropped the changes in doubt, the topic must be listed. Change: only a proof beyond the dropped revision makes that list unnecessary; while a doubt is lost, a daemon waits for its jitter alone before it lists.

--- a/internal/coordination/watch/progress.go
+++ b/internal/coordination/watch/progress.go
@@ -26,7 +26,10 @@
 		r.backoff = min(maxBackoff*factor, max(initialBackoff*factor*factor, 2*r.backoff))
 		return
 	case HistoryLost:
-		r.relist[c.Topic], r.historyLostAt = true, now
+		if !r.relist[c.Topic] {
+			r.historyLostAt = now
+		}
+		r.relist[c.Topic], r.doubtLost[c.Topic] = true, c.Since < r.revs[c.Topic]
 		r.backoff = 0
 		return
 	}
@@ -118,7 +121,10 @@
 		return
 	}
 	if rev > r.revs[t] {
-		r.announce, r.relist[t] = true, false // the store may have the changes since rev
+		r.announce = true
+		if !r.doubtLost[t] {
+			r.relist[t] = false // the store may have the changes since rev
+		}
 	}
 	r.revs[t] = rev
 	if rev >= r.peerRevs[t] {
--- a/internal/coordination/watch/proof.go
+++ b/internal/coordination/watch/proof.go
@@ -52,6 +52,7 @@
 func (r *Reader) prove(t fleet.Topic, p Proof) {
 	if p.Rev > r.proofs[t].Rev {
 		r.announce = true // whoever waits for it would read the store
+		r.relist[t], r.doubtLost[t] = false, false
 	}
 	r.proofs[t] = r.proofs[t].merge(p)
 	r.dropProvedClaims()
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -135,6 +135,9 @@
 	revs      [fleet.Topics]schema.Version
 	confirmed [fleet.Topics]clock.Milli
 	relist    [fleet.Topics]bool
+	// doubtLost is set if the changes that the store dropped are those in doubt, so that
+	// only a proof makes the list unnecessary.
+	doubtLost [fleet.Topics]bool
 	// grounded is set once the replica of a topic rests on a current list.
 	grounded [fleet.Topics]bool
 	checks   checks
@@ -206,7 +209,11 @@
 func (r *Reader) awaitsSnapshot(now clock.Milli, t fleet.Topic) bool {
 	if r.relist[t] {
 		wait := r.bound / relistDivisor
-		return r.rank != 0 && !r.alone && now-r.historyLostAt < wait+wait*r.jitter/jitterRange
+		spread := wait * r.jitter / jitterRange
+		if r.doubtLost[t] {
+			wait = 0 // no peer has a snapshot that shows more
+		}
+		return r.rank != 0 && !r.alone && now-r.historyLostAt < wait+spread
 	}
 	return r.awaitSince != clock.Never && now-r.awaitSince < snapshotWait+r.jitterDelay()
 }
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -388,6 +388,30 @@
 	})
 }
 
+// TestDrainIsInForceThoughHistoryIsLost guards against the same if the store drops its
+// history once its watches hear again, so that a second look gets no answer, while news
+// of other targets go on (DRAIN, incident 38).
+func TestDrainIsInForceThoughHistoryIsLost(t *testing.T) {
+	forEachLoss(t, func(s *sim, bound clock.Milli, lost int, after clock.Milli) {
+		s.store.passes, s.store.silentUntil = true, s.now+watchSilence
+		s.store.put("i-05", true)
+		drainedAt, changedAt := s.now, s.now
+		s.run(bound, func() {
+			if s.now-changedAt >= 300 {
+				changedAt = s.now
+				s.store.put(targetID(100+int(s.now/300)), false)
+			}
+			switch s.now {
+			case drainedAt + after:
+				s.lose(lost, awayTime)
+			case drainedAt + watchSilence:
+				s.store.dropped = s.store.rev
+			}
+		})
+		require.Empty(s.t, s.unaware(drained("i-05")), "a bound after the drain")
+	})
+}
+
 // TestLateNewsReachPeersBetweenOtherChanges guards against a drain that the reader hears
 // late, by a second look, and that its peers miss, as they have passed its revision and
 // other changes follow each other (DRAIN, incident 38).
