internal/coordination/watch: who may all take over at once waits by stretched jitter

Cause: from rank three on all daemons take over at the same age, within 100 ms. Change: these ranks wait up to a tenth of the bound longer, most of them nearly the longest, so that few act before the first one's news arrive (exponential timers, as in reliable multicast). A proof that is later by more than 0.7 of the bound, which only a list by another daemon than the reader brings, is sent at once. The simulations of drains and changes stay green, the checks of costs too.

--- a/internal/coordination/watch/proof.go
+++ b/internal/coordination/watch/proof.go
@@ -54,6 +54,9 @@
 		r.announce = true // whoever waits for it would read the store
 		r.relist[t], r.doubtLost[t] = false, false
 	}
+	if float64(p.At-r.proofs[t].At) > float64(r.bounds[t])*lateProofFraction {
+		r.announce = true
+	}
 	r.proofs[t] = r.proofs[t].merge(p)
 	r.dropProvedClaims()
 }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -29,6 +29,7 @@
 package watch
 
 import (
+	"math"
 	"slices"
 
 	"coltsfootdock/internal/clock"
@@ -51,9 +52,17 @@
 	// sent at once.
 	doubtTakeoverFraction     = 0.12
 	doubtTakeoverStepFraction = 0.05
-	// Likewise for the lists of the configuration and the outs.
+	// Likewise for the lists of the configuration and the outs. A proof that is later
+	// than the one before by more than lateProofFraction of the bound, as such a
+	// daemon's is, is sent to peers at once.
 	checkTakeoverFraction     = 0.23
 	checkTakeoverStepFraction = 0.02
+	lateProofFraction         = 0.7
+	// The ranks from maxTakeoverRank on differ by up to maxSpread, those below
+	// fullSpreadRank by less.
+	maxSpread      = 0.1
+	fullSpreadRank = 16
+	spreadExponent = 4
 	// If the store has dropped the changes asked for, a daemon waits for a
 	// snapshot from a peer for 1/relistDivisor of the bound, and up to as much
 	// again by its jitter, before it lists the topic.
@@ -271,7 +280,18 @@
 // of a topic's bound for the reader, and a step for each further rank.
 func (r *Reader) afterRanks(t fleet.Topic, fraction, step float64) clock.Milli {
 	step *= float64(min(r.rank, maxTakeoverRank) - 1)
-	return clock.Milli(float64(r.bounds[t])*(fraction+step)) + r.jitter
+	return clock.Milli(float64(r.bounds[t])*(fraction+step+r.spread())) + r.jitter
+}
+
+// spread returns the fraction of a bound by which this daemon waits longer than the first
+// of the ranks from maxTakeoverRank on, which all may take over. The jitter is stretched
+// so that most wait nearly the longest and learn before then that others have read.
+func (r *Reader) spread() float64 {
+	if r.rank < maxTakeoverRank {
+		return 0
+	}
+	longest := maxSpread * min(1, float64(r.rank)/fullSpreadRank)
+	return longest * math.Log1p(float64(r.jitter)/float64(jitterRange)*math.Expm1(spreadExponent)) / spreadExponent
 }
 
 // Next returns the read to make now, if any. The caller must report its end to
