internal/standin/soak: first daemons lost beside unheard drains, bounds by seed

Change: bounds of 3, 5 or 6 s by seed; the first ranks are lost one after the other for 5 s or more, alone or beside drains that watches don't tell; signals come in series; a draining target stays for 10 to 33 s; each eighth flow is kept open until its target is gone. A first form of it hung in its own clean-up for ten minutes (daemons were started again while the system closed); it no longer starts any.

--- a/cmd/standin/cmd/soak.go
+++ b/cmd/standin/cmd/soak.go
@@ -23,6 +23,7 @@
 	fs.StringVar(&opts.Dir, "dir", "", "directory for settings and logs; a new temporary one if empty")
 	fs.Uint64Var(&opts.Seed, "seed", 1, "seed of the faults")
 	fs.DurationVar(&opts.For, "for", 30*time.Second, "how long faults are injected")
+	fs.DurationVar(&opts.Bound, "bound", 0, "time within which drains and versions must be in force; zero if the seed selects it")
 	fs.IntVar(&opts.Daemons, "daemons", 6, "number of daemons")
 	fs.IntVar(&opts.Targets, "targets", 12, "number of targets")
 	fs.IntVar(&opts.Clients, "clients", 24, "number of client hosts")
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -11,9 +11,7 @@
 // Bounds that the simulated deployment guarantees, and the tolerances of the
 // checks.
 const (
-	drainBound = 3 * time.Second
-	applyBound = 3 * time.Second
-	outBound   = 5 * time.Second
+	outBound = 5 * time.Second
 	// stableWindow is the time after a fault during which its effects are allowed.
 	stableWindow = 4 * time.Second
 	// boundTolerance is added to a bound before it counts as exceeded.
@@ -78,7 +76,9 @@
 
 // checker verifies the guarantees from what clients and targets observe.
 type checker struct {
-	mu            sync.Mutex
+	mu sync.Mutex
+	// bound is the time within which drains and versions must be in force.
+	bound         time.Duration
 	started       time.Time
 	storeFaults   faultTracker
 	violations    []Violation
@@ -98,8 +98,8 @@
 	faultsEnded                        time.Time
 }
 
-func newChecker() *checker {
-	return &checker{started: time.Now(), runs: make(map[uint64]int), nonIdempotent: make(map[uint64]bool), taken: make(map[openKey]*target), refused: make(map[openKey]bool)}
+func newChecker(bound time.Duration) *checker {
+	return &checker{bound: bound, started: time.Now(), runs: make(map[uint64]int), nonIdempotent: make(map[uint64]bool), taken: make(map[openKey]*target), refused: make(map[openKey]bool)}
 }
 
 // recordViolation records a violated guarantee. About is a target's ID, a flow's
@@ -142,8 +142,8 @@
 		}
 	}
 	drain, out := t.drainingSince(), t.dataCentre.outSince()
-	lateDrain := c.late(d, drain, now, drainBound)
-	lateTable := c.late(d, ended.at, now, applyBound)
+	lateDrain := c.late(d, drain, now, c.bound)
+	lateTable := c.late(d, ended.at, now, c.bound)
 	lateOut := c.late(d, out, now, outBound)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -31,6 +31,10 @@
 	maxRetransmit   = 1600 * time.Millisecond
 )
 
+// lastingRequests is the number of requests of a flow that its client keeps open until
+// its target is gone or the test ends.
+const lastingRequests = 10000
+
 // client is a client host with several flows.
 type client struct {
 	sys        *System
@@ -151,7 +155,11 @@
 		c.sys.checker.increment(&c.sys.checker.rejected)
 		return f
 	}
-	for range 5 + c.sys.rand()%40 {
+	requests := 5 + c.sys.rand()%40
+	if c.sys.rand()%8 == 0 {
+		requests = lastingRequests
+	}
+	for range requests {
 		select {
 		case <-stop:
 		default:
--- a/internal/standin/soak/client_test.go
+++ b/internal/standin/soak/client_test.go
@@ -22,7 +22,7 @@
 	}
 	daemonConn := listen()
 	dc := &dataCentre{name: "a"}
-	s := &System{checker: newChecker(), dataCentres: []*dataCentre{dc}}
+	s := &System{checker: newChecker(time.Second), dataCentres: []*dataCentre{dc}}
 	s.daemons = []*daemon{{dataCentre: dc, dataAddr: daemonConn.LocalAddr().(*net.UDPAddr).AddrPort()}}
 	c := &client{sys: s, dataCentre: dc, conn: listen()}
 	return &clientFlow{
--- a/internal/standin/soak/direct.go
+++ b/internal/standin/soak/direct.go
@@ -86,7 +86,7 @@
 		return
 	}
 	regressed := d.hadEffect(added.version, sent)
-	late := s.checker.late(d, added.at, sent, applyBound)
+	late := s.checker.late(d, added.at, sent, s.opts.Bound)
 	s.checker.mu.Lock()
 	defer s.checker.mu.Unlock()
 	s.checker.checks++
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"syscall"
 	"time"
 
+	"coltsfootdock/internal/coordination/watch"
 	"coltsfootdock/internal/standin/plat"
 )
 
@@ -52,6 +54,29 @@
 		d.signal(syscall.SIGSTOP)
 		return func() { d.signal(syscall.SIGCONT); done() }
 	}, 0},
+	{"signals in series", func(s *System) func() {
+		d := s.randomDaemon()
+		done := d.faults.begin()
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
+			d.signal(sig)
+			s.sleepBetween(1, 150)
+		}
+		return func() { d.stop(syscall.SIGKILL); s.restart(d); done() }
+	}, 0},
+	{"first daemons lost", func(s *System) func() {
+		return s.loseFirst(1 + int(s.rand()%uint64(1+len(s.daemons)/3)))
+	}, lostTime},
+	{"drains unheard, first daemons lost", func(s *System) func() {
+		done := s.checker.storeFaults.begin()
+		s.store.HushWatches(hushTime)
+		for range 1 + s.rand()%3 {
+			s.randomTarget().drainAndStop()
+		}
+		s.sleepBetween(100, 1500)
+		heal := s.loseFirst(1 + int(s.rand()%uint64(1+len(s.daemons)/3)))
+		s.after(hushTime, done)
+		return heal
+	}, lostTime},
 	{"settings read again", func(s *System) func() {
 		s.randomDaemon().signal(syscall.SIGHUP)
 		return func() {}
@@ -171,6 +196,9 @@
 	stormGap      = 60 * time.Millisecond
 )
 
+// lostTime is how long the first daemons by rank are lost at least.
+const lostTime = 5 * time.Second
+
 // hushTime is how long the store's watches hear nothing.
 const hushTime = time.Second
 
@@ -230,6 +258,35 @@
 	}
 }
 
+// loseFirst kills the first n daemons in the order in which they read the store, one
+// after the other. The function that it returns starts them again.
+func (s *System) loseFirst(n int) func() {
+	var heals []func()
+	for _, d := range s.byRank()[:min(n, len(s.daemons)-1)] {
+		done := d.faults.begin()
+		d.stop(syscall.SIGKILL)
+		heals = append(heals, func() { s.restart(d); done() })
+	}
+	return func() {
+		for _, h := range heals {
+			h()
+		}
+	}
+}
+
+// byRank returns the daemons in the order in which they read the store.
+func (s *System) byRank() []*daemon {
+	rank := make(map[*daemon]int)
+	for _, d := range s.daemons {
+		ps := watch.NewPeerSet(netip.AddrPortFrom(d.host, peerPort), "", nil, 0)
+		for _, x := range s.daemons {
+			ps.RecordNeighbour(0, netip.AddrPortFrom(x.host, peerPort), "")
+		}
+		rank[d] = ps.Rank(0)
+	}
+	return slices.SortedFunc(slices.Values(s.daemons), func(x, y *daemon) int { return rank[x] - rank[y] })
+}
+
 // restart starts a daemon's process again, unless the end of another fault has
 // already done so.
 func (s *System) restart(d *daemon) {
--- a/internal/standin/soak/reading_test.go
+++ b/internal/standin/soak/reading_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -84,13 +85,38 @@
 			t.Run(x.name, func(t *testing.T) {
 				t.Parallel()
 				runScenario(t, Options{
-					Daemon: program, Dir: t.TempDir(), Seed: 34, Daemons: 3, Targets: 12, Clients: 2, Slot: 30 + i, Reading: i,
+					Daemon: program, Dir: t.TempDir(), Seed: 34, Bound: 3 * time.Second, Daemons: 3, Targets: 12, Clients: 2, Slot: 30 + i, Reading: i,
 				}, change)
 			})
 		}
 	}
 }
 
+// TestDrainIsKnownThoughTheFirstDaemonsAreLost guards against daemons that use a draining
+// target for seconds: no watch told of it, and the daemons that knew that they may have
+// missed something were lost (DRAIN, incident 38).
+func TestDrainIsKnownThoughTheFirstDaemonsAreLost(t *testing.T) {
+	for slot, bound := range map[int]time.Duration{37: 5 * time.Second, 38: 6 * time.Second} {
+		t.Run(bound.String(), func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, Options{
+				Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: 38, Bound: bound, Daemons: 18, Targets: 12, Clients: 2, Slot: slot,
+				Reading: slices.IndexFunc(readings, func(r namedReading) bool { return r.reading.HushedPassesChanges }),
+			}, func(s *System) {
+				done := s.checker.storeFaults.begin()
+				s.store.HushWatches(hushTime)
+				for range 3 {
+					s.randomTarget().drainAndStop()
+				}
+				time.Sleep(hushTime * 9 / 10)
+				s.loseFirst(3) // for the rest of the test
+				time.Sleep(hushTime)
+				done()
+			})
+		})
+	}
+}
+
 // runScenario starts a system without faults, makes changes and checks what targets
 // and clients see until settleTime after them.
 func runScenario(t *testing.T, opts Options, change func(s *System)) {
@@ -107,7 +133,7 @@
 	time.Sleep(warmupTime)
 	s.addRoute("desk")
 	s.addRoute("desk")
-	time.Sleep(applyBound)
+	time.Sleep(opts.Bound)
 	for _, c := range s.clients {
 		s.wg.Go(func() { c.run(stop) })
 		s.wg.Go(func() { s.openDirectly(c, stop) })
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -17,6 +17,7 @@
 	Seed uint64
 	// Reading is what the store did where its protocol leaves it open.
 	Reading string
+	Bound   time.Duration
 	// Injected counts the injected faults by name.
 	Injected map[string]int
 	// Flows counts the flows that clients tried to open, Refused those of them that
@@ -36,12 +37,18 @@
 	recoveryTime = 9 * time.Second
 )
 
+// bounds are those of the deployments, of which a seed selects one.
+var bounds = []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second}
+
 func newSystem(ctx context.Context, opts Options) *System {
 	if opts.Reading < 0 || opts.Reading >= len(readings) {
 		opts.Reading = int(opts.Seed % uint64(len(readings)))
 	}
+	if opts.Bound == 0 {
+		opts.Bound = bounds[opts.Seed/uint64(len(readings))%uint64(len(bounds))]
+	}
 	return &System{
-		opts: opts, checker: newChecker(), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
+		opts: opts, checker: newChecker(opts.Bound), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
 	}
 }
 
@@ -88,7 +95,7 @@
 		c.violations[i].Lines = s.logLinesAbout(c.violations[i].About)
 	}
 	return &Result{
-		Seed: s.opts.Seed, Reading: readings[s.opts.Reading].name, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
+		Seed: s.opts.Seed, Reading: readings[s.opts.Reading].name, Bound: s.opts.Bound, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
 		Checks: c.checks, Broken: c.violations,
 	}
 }
@@ -146,7 +153,7 @@
 
 // Print writes the result as text.
 func (r *Result) Print(w io.Writer) {
-	fmt.Fprintf(w, "store: %s\n", r.Reading)
+	fmt.Fprintf(w, "store: %s; bound %s\n", r.Reading, r.Bound)
 	fmt.Fprintf(w, "seed %d: %d flows, %d requests served, %d lost, %d flows refused, %d checks, %d broken\n",
 		r.Seed, r.Flows, r.Served, r.Lost, r.Refused, r.Checks, len(r.Broken))
 	for _, k := range faultKinds {
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -64,7 +64,10 @@
 	Seed uint64
 	// For is how long faults are injected. Fault-free periods before and after
 	// come in addition.
-	For     time.Duration
+	For time.Duration
+	// Bound is the time within which drains and versions must be in force; zero if the
+	// seed selects it.
+	Bound   time.Duration
 	Daemons int
 	Targets int
 	Clients int
@@ -372,8 +375,8 @@
 		Store:      d.storeProxy.listener.Addr().(*net.TCPAddr).AddrPort(),
 		Seeds:      []netip.Addr{s.opts.host(roleDaemon, 0), s.opts.host(roleDaemon, 1), s.opts.host(roleDaemon, staleSeed)},
 		Bounds: setup.Bounds{
-			Apply:    clock.FromDuration(applyBound),
-			Drain:    clock.FromDuration(drainBound),
+			Apply:    clock.FromDuration(s.opts.Bound),
+			Drain:    clock.FromDuration(s.opts.Bound),
 			Out:      clock.FromDuration(outBound),
 			Grace:    6 * clock.Second,
 			FlowLife: clock.Minute,
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -16,8 +16,12 @@
 // firstTargetID is the numeric part of the first target's ID.
 const firstTargetID = 0x5eed0000
 
-// drainServeTime is how long a draining target still serves its open flows.
-const drainServeTime = drainBound + 9*time.Second
+// A draining target still serves its open flows for minDrainServeTime beyond the bound,
+// and up to drainServeSpread longer.
+const (
+	minDrainServeTime = 7 * time.Second
+	drainServeSpread  = 20 * time.Second
+)
 
 // dataCentre is a data centre of the simulated deployment.
 type dataCentre struct {
@@ -195,13 +199,14 @@
 	}
 }
 
-// drainAndStop drains the target and stops it after drainServeTime.
+// drainAndStop drains the target and stops it once it has served its flows.
 func (t *target) drainAndStop() {
 	t.mu.Lock()
 	t.drainStart = time.Now()
 	t.mu.Unlock()
 	t.writeHeartbeat()
-	t.sys.after(drainServeTime, func() {
+	serve := t.sys.opts.Bound + minDrainServeTime + t.sys.randomDelay(uint64(drainServeSpread.Milliseconds()))
+	t.sys.after(serve, func() {
 		t.mu.Lock()
 		t.stopped = true
 		t.flows = nil
