steer, entry: each reset of an open flow is logged with its proof

Change: steer.ResetProof is what a daemon knows of a target when it resets a flow of it; the core returns it on demand, so that nothing is computed but for resets. entry logs it in a reset: line, never sampled: the first reset of a target for a reason at once, later ones summed up in a line a second; 64 lines a tick at most, and a sum that the log does not take stays for the next second. Counter coltsfootdock_open_flows_reset_total{proof}; /belief and explain show the proof of each target. Fields of existing lines are unchanged, and so is every decision.

--- a/cmd/coltsfootdock/cmd/explain.go
+++ b/cmd/coltsfootdock/cmd/explain.go
@@ -183,4 +183,7 @@
 	for _, why := range t.Why {
 		fmt.Fprintf(w, "  %s\n", why)
 	}
+	if t.Proof.Suspicious() {
+		fmt.Fprintf(w, "  proof for resets of its flows: %s; %s\n", t.Proof.Kind, t.Proof)
+	}
 }
--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -34,6 +34,8 @@
 	// Heard is the time since the target last answered this daemon or a peer,
 	// negative if it never did.
 	Heard clock.Milli
+	// Proof is what speaks for and against resetting the target's open flows.
+	Proof ResetProof
 }
 
 // FlowBelief is a daemon's record of one flow, as /belief shows it. Durations
@@ -67,10 +69,7 @@
 	b := TargetBelief{
 		ID: t.ID, Pool: t.Pool, DataCentre: t.DataCentre, Address: t.Address.String(), Cookie: fmt.Sprintf("%08x", uint32(t.Code)), Rev: t.Rev,
 		Load: t.score(), Flows: t.load.flows, Busy: t.load.busy, PeerFlows: t.load.peerFlows, PeerBusy: t.load.peerBusy,
-		Heard: -1,
-	}
-	if last := t.answers.lastAnswerAnywhere(); last > 0 {
-		b.Heard = now - last
+		Heard: ageOf(now, t.answers.lastAnswerAnywhere()), Proof: c.currentProof(now, t),
 	}
 	b.Takes = c.acceptsNew(now, t) && !c.avoids(now, t) && len(c.colliding[t.Code]) == 0
 	b.Why = c.reasons(now, t)
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -107,19 +107,17 @@
 	k := serviceKeyOf(&s.Tuple)
 	route := c.routes[k]
 	if _, dropped := c.removedRoutes[k]; dropped && route == nil && fresh && !s.Reset {
-		return Verdict{Action: Reset, Reason: RouteGone, Target: t, Changed: true}
+		return Verdict{Action: Reset, Reason: RouteGone, Target: t, Changed: true, Acked: c.flows.records[s.Tuple].ackedAt()}
 	}
 	r := c.track(now, s, t, route)
 	if s.Reset {
 		return Verdict{Action: Deliver, Reason: ByCookie, Target: t, Route: route}
 	}
 	if c.targetLost(now, t, r) {
-		c.flows.remove(s.Tuple)
-		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, Changed: true}
+		return c.resetOpen(s, t, route, r, TargetGone)
 	}
 	if r != nil && c.mayReset(r) && c.unresponsive(now, t) {
-		c.flows.remove(s.Tuple)
-		return Verdict{Action: Reset, Reason: TargetUnresponsive, Target: t, Route: route, Changed: true}
+		return c.resetOpen(s, t, route, r, TargetUnresponsive)
 	}
 	if r != nil && r.wait != nil && s.Len > 0 {
 		return Verdict{Action: Queue, Reason: Waiting, Target: t, Route: route}
--- a/internal/coordination/steer/evaluate.go
+++ b/internal/coordination/steer/evaluate.go
@@ -104,6 +104,7 @@
 		e.reporters = max(e.reporters, c.confirmingPeers[dc])
 		if e.targets >= minUnresponsiveTargets && e.unresponsive(now) {
 			c.unresponsiveDCs[dc] = true
+			c.silentTargets[dc] = e.targets
 		}
 	}
 }
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -75,9 +75,13 @@
 	confirmed bool
 	// queued is set while the target is in the probe queue, active while a probe
 	// is under way. lastBegan is when the last probe began.
-	queued    bool
-	active    bool
-	lastBegan clock.Milli
+	queued bool
+	active bool
+	// lastOutcome is the outcome of the last probe, lastDone when it ended, zero if
+	// there was none.
+	lastOutcome Outcome
+	lastBegan   clock.Milli
+	lastDone    clock.Milli
 	// silentBegan is when the last probe without an answer began.
 	silentBegan clock.Milli
 	// dead is set once a probe proved that the target does not answer.
@@ -138,6 +142,7 @@
 	}
 	p := &t.probe
 	p.active = false
+	p.lastOutcome, p.lastDone = o, now
 	was := p.dead
 	switch {
 	case o == Accepted:
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -75,8 +75,7 @@
 			c.flows.remove(tuple)
 			continue
 		case r.openedAt == 0 && !r.closed && c.targetLost(now, r.target, r):
-			c.resets = append(c.resets, FlowReset{Tuple: tuple, Ack: r.ack, Target: r.target, Reason: TargetGone})
-			c.flows.remove(tuple)
+			c.resetFlow(tuple, r, TargetGone)
 			continue
 		}
 		if r.closed {
@@ -120,8 +119,7 @@
 	}
 	for tuple, r := range c.flows.records {
 		if unresponsive[r.target] && c.mayReset(r) {
-			c.resets = append(c.resets, FlowReset{Tuple: tuple, Ack: r.ack, Target: r.target, Reason: TargetUnresponsive})
-			c.flows.remove(tuple)
+			c.resetFlow(tuple, r, TargetUnresponsive)
 		}
 	}
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -106,13 +106,17 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Target is where a delivered packet goes.
+	// Target is where a delivered packet goes, and the target of an open flow that
+	// is reset.
 	Target *Target
 	// Route is the packet's route, nil if none is known.
 	Route *Route
 	// Changed is set if the decision is to be logged: a flow was opened, moved,
 	// rejected or reset.
 	Changed bool
+	// Acked is when the client of an open flow that is reset last acknowledged new
+	// data here, clock.Never if it did not.
+	Acked clock.Milli
 }
 
 // Target is a daemon's state of one start of a target. A restarted target has a new
@@ -144,6 +148,8 @@
 	cold            openBudget
 	// limiter is that of the target's pool.
 	limiter *limiter
+	// goneRev is the revision by which the entry was removed or replaced.
+	goneRev schema.Version
 }
 
 // Route is a route with its pools resolved. total is the sum of their weights.
@@ -224,8 +230,10 @@
 	activeProbes int
 	deadReports  []*Target
 	// unresponsiveDCs holds the data centres whose targets answer nobody,
-	// lastAnswerDCs when a target of each last answered anyone.
+	// silentTargets the number of their targets that showed it, lastAnswerDCs when a
+	// target of each last answered anyone.
 	unresponsiveDCs map[schema.DataCentreID]bool
+	silentTargets   map[schema.DataCentreID]int
 	lastAnswerDCs   map[schema.DataCentreID]clock.Milli
 	// paths holds the state of the paths to other data centres.
 	paths map[schema.DataCentreID]*path
@@ -262,6 +270,9 @@
 	Ack    uint32
 	Target *Target
 	Reason Reason
+	// Acked is when the flow's client last acknowledged new data here, clock.Never
+	// if it did not.
+	Acked clock.Milli
 }
 
 // New returns the core of a daemon in a data centre. seed initialises its random
@@ -292,6 +303,7 @@
 		lastSum:            clock.Never,
 		limitsUpdated:      clock.Never,
 		unresponsiveDCs:    make(map[schema.DataCentreID]bool),
+		silentTargets:      make(map[schema.DataCentreID]int),
 		lastAnswerDCs:      make(map[schema.DataCentreID]clock.Milli),
 		paths:              make(map[schema.DataCentreID]*path),
 		confirmingPeers:    make(map[schema.DataCentreID]int),
@@ -341,6 +353,7 @@
 		return
 	}
 	t.gone, t.goneAt, t.drained = true, at, t.Draining
+	t.goneRev = c.removalRev(t.ID)
 }
 
 // serviceKeyOf returns the key of the address that a flow was sent to.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,8 +102,10 @@
 	summaryUrgent bool
 	// storeFailedAt is when the store last failed, Never if it answered since.
 	storeFailedAt clock.Milli
-	held          []heldPacket
-	queued        packetQueue
+	// resets sums up the resets of open flows for the log.
+	resets map[resetCause]*resetSum
+	held   []heldPacket
+	queued packetQueue
 	// leaving is set during a graceful stop.
 	leaving bool
 	// leftAt is when the graceful stop began, lastStopCheck when mayStop was
@@ -162,6 +164,7 @@
 		pullQueue:          make(chan netip.AddrPort, 1),
 		probeQueue:         make(chan steer.Probe, steer.MaxProbes),
 		leave:              make(chan struct{}),
+		resets:             make(map[resetCause]*resetSum),
 		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
 		store:              object.NewClient("http://" + cfg.Store.String()),
 	}
@@ -271,6 +274,7 @@
 	d.log.infof("start: incarnation=%d data=%s peer=%s store=%s seeds=%d bound=%dms",
 		d.incarnation, d.cfg.Data, d.cfg.Peer, d.cfg.Store, len(d.cfg.Seeds), tightestBound(d.cfg.Bounds))
 	err := sup.Serve(ctx)
+	d.flushAllResets()
 	d.log.infof("stop: done")
 	err = errors.Join(err, d.Close())
 	if errors.Is(err, context.Canceled) {
@@ -305,6 +309,9 @@
 		d.dataPlane.Deliver(b, v.Target.Address, v.Target.Number, uint32(v.Target.Code))
 	case steer.Reset:
 		d.dataPlane.Reset(&s.Tuple, s.Ack)
+		if v.Target != nil { // the flow is open
+			d.recordResetVerdict(now, s, &v)
+		}
 	case steer.Hold:
 		d.hold(now, b, s)
 		d.reader.EndAwait()
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -57,9 +57,11 @@
 	for _, e := range d.core.Resets() {
 		d.dataPlane.Reset(&e.Tuple, e.Ack)
 		d.metrics.idleFlowsEnded.Inc()
+		d.recordReset(now, &e, "silent")
 		d.log.sampledf("flow: client=%s service=%s target=%s action=reset reason=%s while=silent",
 			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
 	}
+	d.flushResets(now)
 	for _, p := range d.core.SlownessChanges() {
 		d.log.sampledf("pace: target=%s slow=%.1f requests=%d", p.ID, p.Slow, p.Requests)
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -77,12 +77,13 @@
 	<-l.done
 }
 
-// infof logs a line regardless of the rate limit.
-func (l *asyncLog) infof(format string, args ...any) {
+// infof logs a line regardless of the rate limit. It reports false if the line is
+// omitted.
+func (l *asyncLog) infof(format string, args ...any) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		return
+		return false
 	}
 	s := fmt.Sprintf(format, args...)
 	if l.omitted > 0 {
@@ -91,8 +92,10 @@
 	select {
 	case l.queue <- s:
 		l.omitted = 0
+		return true
 	default:
 		l.omit()
+		return false
 	}
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,7 @@
 	peerSentBytes   *metrics.Counter
 	idleFlowsEnded  *metrics.Counter
 	probes          [steer.Outcomes]*metrics.Counter
+	openFlowsReset  map[steer.ProofKind]*metrics.Counter
 	omittedLines    *metrics.Counter
 	// viewsDiffer counts the summaries of peers that hold other objects of a topic
 	// at the same revision.
@@ -50,6 +51,10 @@
 		idleFlowsEnded:  s.NewCounter("coltsfootdock_idle_flows_ended_total"),
 		omittedLines:    s.NewCounter("coltsfootdock_log_lines_omitted_total"),
 		queueFull:       s.NewCounter("coltsfootdock_queue_full_total"),
+		openFlowsReset:  make(map[steer.ProofKind]*metrics.Counter),
+	}
+	for _, k := range steer.ProofKinds {
+		m.openFlowsReset[k] = s.NewCounter(fmt.Sprintf(`coltsfootdock_open_flows_reset_total{proof=%q}`, k))
 	}
 	for _, r := range []steer.Reason{steer.FlowEnded, steer.TimedOut} {
 		m.discarded[r] = s.NewCounter(fmt.Sprintf(`coltsfootdock_wait_ended_total{reason=%q}`, r))
