--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,8 +119,11 @@
 	lastConfigErrors string
 	dataPlane        *edge.Plane
 	peerConn         *sock.UDP
-	// sendToPeer sends a message to a peer.
+	// sendToPeer sends a message to a peer, deliver a packet to a target, reset the
+	// reset of a flow to its client.
 	sendToPeer      func(data []byte, to netip.AddrPort)
+	deliver         func(b []byte, t *steer.Target)
+	reset           func(e *steer.FlowReset)
 	readyListener   net.Listener
 	pullListener    net.Listener
 	metricsListener net.Listener
@@ -165,7 +168,7 @@
 		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
 		store:              object.NewClient("http://" + cfg.Store.String()),
 	}
-	d.sendToPeer = d.send
+	d.sendToPeer, d.deliver, d.reset = d.send, d.sendToTarget, d.sendReset
 	d.metrics = newInstruments(d)
 	d.log = newAsyncLog(log, string(cfg.ID), d.metrics)
 	d.membership = watch.NewPeerSet(cfg.Peer, cfg.DataCentre, seedAddrs(cfg), incarnation)
@@ -302,9 +305,9 @@
 	d.metrics.countVerdict(&v)
 	switch v.Action {
 	case steer.Deliver:
-		d.dataPlane.Deliver(b, v.Target.Address, v.Target.Number, uint32(v.Target.Code))
+		d.deliver(b, v.Target)
 	case steer.Reset:
-		d.dataPlane.Reset(&s.Tuple, s.Ack)
+		d.reset(&steer.FlowReset{Tuple: s.Tuple, Ack: s.Ack, Target: v.Target, Reason: v.Reason})
 	case steer.Hold:
 		d.hold(now, b, s)
 		d.reader.EndAwait()
@@ -315,3 +318,9 @@
 		d.log.decision(now, s, &v, d.logView(now))
 	}
 }
+
+func (d *Daemon) sendToTarget(b []byte, t *steer.Target) {
+	d.dataPlane.Deliver(b, t.Address, t.Number, uint32(t.Code))
+}
+
+func (d *Daemon) sendReset(e *steer.FlowReset) { d.dataPlane.Reset(&e.Tuple, e.Ack) }
--- /dev/null
+++ b/internal/entry/flowsim_test.go
@@ -0,0 +1,701 @@
+package entry
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/setup"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
+)
+
+const (
+	// heartbeat is the time between two writes of a target's entry. The store removes
+	// an entry after lapseBeats of them without one.
+	heartbeat  = 1200 * clock.Milli(1)
+	lapseBeats = 3
+	// silentProbeTime is how long a probe takes that nothing answers.
+	silentProbeTime = 160 * clock.Milli(1)
+	// rotationCheck is the time between two checks of the fabric whether a daemon is
+	// ready. It is out of rotation after missedChecks of them.
+	rotationCheck = 500 * clock.Milli(1)
+	missedChecks  = 2
+	// scatterTime is how long after a change of the rotation packets may go anywhere.
+	scatterTime = 2 * clock.Second
+	// firstRetry and maxRetry bound the time until a client sends a packet again.
+	firstRetry = 200 * clock.Milli(1)
+	maxRetry   = 1600 * clock.Milli(1)
+	// flowsPerTarget is the number of flows that clients keep open for each target, one
+	// of idleShare of them mostly idle.
+	flowsPerTarget = 12
+	idleShare      = 4
+	// resetWindow is how far the sequence number of a reset may be from what the client
+	// acknowledged.
+	resetWindow = 76800
+	requestLen  = 200
+	answerLen   = 600
+)
+
+// simTarget is a target as it is, in contrast to its entry and to what daemons know.
+type simTarget struct {
+	entry fleet.Target
+	// running is set while the process runs, dark if its VM has no power or is cut off.
+	running bool
+	dark    bool
+	held    map[flow.Tuple]bool
+	// beatAt is when the next write is due, written when the store last took one.
+	// registered is set while the store has the entry.
+	beatAt     clock.Milli
+	written    clock.Milli
+	registered bool
+	// cutUntil is until when the target does not reach the store.
+	cutUntil clock.Milli
+	// slow is set if the target's writes fail for longer than those of others.
+	slow bool
+	// stays is how long a draining target serves after the store has taken its state,
+	// leaveAt when it leaves, zero before.
+	stays   clock.Milli
+	leaveAt clock.Milli
+	// death is set once the process ended.
+	death *simDeath
+}
+
+// simDeath is the end of a target that held flows.
+type simDeath struct {
+	at clock.Milli
+	// removedAt is when its entry was removed, zero before.
+	removedAt clock.Milli
+	left      bool
+	flows     []*simFlow
+}
+
+// simFlow is a client's flow.
+type simFlow struct {
+	index  int
+	tuple  flow.Tuple
+	cookie uint32
+	seq    uint32
+	ack    uint32
+	target *simTarget
+	pace   clock.Milli
+	limit  clock.Milli
+	idle   bool
+	state  flowPhase
+	// nextAt is when the next request is due, sentAt when the packet without an answer
+	// was first sent, retryAt when it is due again, answerAt when its answer arrives.
+	nextAt   clock.Milli
+	sentAt   clock.Milli
+	retryAt  clock.Milli
+	answerAt clock.Milli
+	retries  uint32
+	// closes is set if the target closes the flow with its answer.
+	closes bool
+	// endedAt is when the flow was over, by a daemon's reset if reset is set.
+	endedAt clock.Milli
+	reset   bool
+	reason  steer.Reason
+}
+
+// flowPhase is what a client's flow does.
+type flowPhase uint8
+
+const (
+	opening flowPhase = iota
+	resting
+	waiting
+	over
+)
+
+// wrongReset is a reset of an open flow whose target serves it.
+type wrongReset struct {
+	at     clock.Milli
+	target schema.TargetID
+	daemon schema.VMID
+	reason steer.Reason
+	// old is set if the daemon's record of the flow is older than the flow's last packet.
+	old bool
+	// busy is set if a request waited for its answer.
+	busy bool
+}
+
+// probing is a probe under way.
+type probing struct {
+	daemon *Daemon
+	probe  steer.Probe
+	doneAt clock.Milli
+}
+
+// storeFault is what the store does to the writes of targets, while it answers all reads.
+type storeFault struct {
+	from, until clock.Milli
+	// share is the share of the writes that it concerns.
+	share float64
+	// delay is how late they are done, zero if never.
+	delay clock.Milli
+	// slowUntil is until when the writes of slow targets fail.
+	slowUntil clock.Milli
+}
+
+// lateWrite is a write that the store does later.
+type lateWrite struct {
+	at     clock.Milli
+	target *simTarget
+}
+
+// flowSim adds targets that serve, and clients with open flows, to a simulated fleet.
+type flowSim struct {
+	*sim
+	random   *rand.Rand
+	targets  []*simTarget
+	atAddr   map[netip.AddrPort]*simTarget
+	flows    []*simFlow
+	byTuple  map[flow.Tuple]*simFlow
+	ports    int
+	probes   []probing
+	late     []lateWrite
+	fault    storeFault
+	timers   []simTimer
+	rotation []int
+	misses   []int
+	// checkedAt is when the fabric last checked readiness, rotatedAt when the rotation
+	// last changed.
+	checkedAt clock.Milli
+	rotatedAt clock.Milli
+	deaths    []*simDeath
+	wrong     []wrongReset
+	// order holds the targets that some has not returned yet.
+	order []*simTarget
+}
+
+// simTimer is something to do at a time.
+type simTimer struct {
+	at clock.Milli
+	do func()
+}
+
+// fleetSize is the size of a simulated deployment.
+type fleetSize struct {
+	daemons int
+	targets int
+	bound   clock.Milli
+}
+
+var (
+	smallFleet  = fleetSize{7, 18, 3 * clock.Second}
+	middleFleet = fleetSize{18, 45, 3 * clock.Second}
+	largeFleet  = fleetSize{67, 150, 5 * clock.Second}
+)
+
+func (x fleetSize) String() string { return fmt.Sprintf("%d daemons", x.daemons) }
+
+var simPools = []schema.Name{"desk", "shop", "mail"}
+
+func simRoutes() ([]fleet.Route, []fleet.Pool) {
+	var routes []fleet.Route
+	var pools []fleet.Pool
+	for i, n := range simPools {
+		class := fleet.Idempotent
+		if i == 1 {
+			class = fleet.NonIdempotent
+		}
+		routes = append(routes, fleet.Route{
+			Name: n, Class: class, Pools: []fleet.Share{{Pool: n, Weight: 1}},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 80),
+		})
+		pools = append(pools, fleet.Pool{Name: n})
+	}
+	return routes, pools
+}
+
+// newFlowSim returns a fleet that has settled, with open flows on all targets.
+func newFlowSim(t *testing.T, x fleetSize, seed uint64) *flowSim {
+	b := setup.Bounds{Apply: x.bound, Drain: x.bound, Out: 5 * clock.Second, Grace: 6 * clock.Second, FlowLife: clock.Minute}
+	f := &flowSim{
+		sim:    &sim{t: t, bounds: b, store: simStore{rev: 10, targets: map[schema.TargetID]fleet.Target{}, outs: map[schema.DataCentreID]schema.Version{}}},
+		random: rand.New(rand.NewPCG(seed, seed)), atAddr: make(map[netip.AddrPort]*simTarget), byTuple: make(map[flow.Tuple]*simFlow),
+		misses: make([]int, x.daemons),
+	}
+	f.store.routes, f.store.pools = simRoutes()
+	f.started = f.connect
+	for i := range x.targets {
+		f.launch(simPools[i%len(simPools)], targetAddr(i), schema.DataCentreID([]string{"a", "b", "c"}[i/len(simPools)%3]))
+	}
+	f.store.configure()
+	for i := range x.daemons {
+		d := &simDaemon{undisturbed: true}
+		f.daemons = append(f.daemons, d)
+		f.start(i, d)
+	}
+	f.run(simSettle)
+	for i := range x.targets * flowsPerTarget {
+		f.flows = append(f.flows, nil)
+		f.open(i)
+	}
+	f.run(4 * clock.Second)
+	return f
+}
+
+func targetAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i / 250), byte(i%250 + 1)}), 80)
+}
+
+// launch starts a new target, which writes its entry with its first heartbeat.
+func (f *flowSim) launch(pool schema.Name, at netip.AddrPort, dc schema.DataCentreID) *simTarget {
+	n := len(f.targets) + 1
+	x := &simTarget{
+		running: true, held: make(map[flow.Tuple]bool), beatAt: f.now + f.upTo(heartbeat/4), slow: n%8 == 0,
+		entry: fleet.Target{ID: targetID(n), Number: uint64(n), StartedAt: 1, Pool: pool, Address: at, DataCentre: dc, Slots: 8},
+	}
+	f.targets, f.atAddr[at] = append(f.targets, x), x
+	return x
+}
+
+// upTo returns a random time below d.
+func (f *flowSim) upTo(d clock.Milli) clock.Milli { return clock.Milli(f.random.Int64N(int64(d))) }
+
+// between returns a random time from a to b.
+func (f *flowSim) between(a, b clock.Milli) clock.Milli { return a + f.upTo(b-a) }
+
+// after has something done later.
+func (f *flowSim) after(d clock.Milli, do func()) {
+	f.timers = append(f.timers, simTimer{at: f.now + d, do: do})
+}
+
+// run lets a time pass.
+func (f *flowSim) run(d clock.Milli) { f.sim.run(d, f.step) }
+
+func (f *flowSim) step() {
+	list := f.timers
+	f.timers = nil
+	for _, x := range list {
+		if f.now < x.at {
+			f.timers = append(f.timers, x)
+			continue
+		}
+		x.do()
+	}
+	f.write()
+	f.probe()
+	f.rotate()
+	for _, x := range f.flows {
+		f.act(x)
+	}
+}
+
+// connect gives a daemon that starts its links to targets and clients.
+func (f *flowSim) connect(_ int, d *simDaemon) {
+	id := d.cfg.ID
+	d.deliver = f.receive
+	d.reset = func(e *steer.FlowReset) { f.noteReset(id, e) }
+}
+
+// write does what is due of the targets' writes and of the store's removals.
+func (f *flowSim) write() {
+	f.late = slices.DeleteFunc(f.late, func(w lateWrite) bool {
+		if f.now >= w.at {
+			f.register(w.target)
+		}
+		return f.now >= w.at
+	})
+	for _, x := range f.targets {
+		if x.running && f.now >= x.beatAt {
+			x.beatAt = f.now + f.between(heartbeat*9/10, heartbeat*11/10)
+			f.beat(x)
+		}
+		if x.leaveAt != 0 && f.now >= x.leaveAt {
+			f.end(x, false, true)
+		}
+		if x.registered && f.now-x.written > lapseBeats*heartbeat {
+			f.unregister(x)
+		}
+	}
+}
+
+// beat makes a write of a target.
+func (f *flowSim) beat(x *simTarget) {
+	fault := &f.fault
+	switch {
+	case f.now < x.cutUntil, x.slow && f.now >= fault.from && f.now < fault.slowUntil:
+	case f.now < fault.from, f.now >= fault.until, f.random.Float64() >= fault.share:
+		f.register(x)
+	case fault.delay > 0:
+		f.late = append(f.late, lateWrite{at: f.now + f.between(fault.delay/2, fault.delay), target: x})
+	}
+}
+
+// register has the store take a target's entry.
+func (f *flowSim) register(x *simTarget) {
+	if !x.running {
+		return
+	}
+	x.written = f.now
+	if x.entry.Draining && x.leaveAt == 0 {
+		x.leaveAt = f.now + x.stays
+	}
+	if old := f.store.targets[x.entry.ID]; !x.registered || old.Draining != x.entry.Draining {
+		x.registered = true
+		f.store.write(x.entry)
+	}
+}
+
+func (f *flowSim) unregister(x *simTarget) {
+	if x.registered {
+		x.registered = false
+		f.store.remove(x.entry.ID)
+	}
+	if x.death != nil && x.death.removedAt == 0 {
+		x.death.removedAt = f.now
+	}
+}
+
+// end ends a target: it crashed, lost power if dark is set, or left.
+func (f *flowSim) end(x *simTarget, dark, left bool) {
+	if !x.running {
+		return
+	}
+	x.running, x.dark = false, dark
+	x.death = &simDeath{at: f.now, left: left}
+	if !x.registered {
+		x.death.removedAt = f.now
+	}
+	for _, y := range f.flows {
+		if y.target == x && y.state != over {
+			x.death.flows = append(x.death.flows, y)
+		}
+	}
+	f.deaths = append(f.deaths, x.death)
+	if left {
+		f.unregister(x)
+	}
+}
+
+// drain has a target say that it leaves, and leave some time after the store took that.
+func (f *flowSim) drain(x *simTarget, stays clock.Milli) {
+	x.entry.Draining, x.beatAt, x.stays = true, f.now, stays
+}
+
+// reuse gives a target's address to a new one of another pool, which writes its entry
+// after silent.
+func (f *flowSim) reuse(x *simTarget, silent clock.Milli) {
+	next := simPools[(slices.Index(simPools, x.entry.Pool)+1)%len(simPools)]
+	f.launch(next, x.entry.Address, x.entry.DataCentre).beatAt = f.now + silent
+}
+
+// some returns n targets at random, each once, and the next ones with each call.
+func (f *flowSim) some(n int) []*simTarget {
+	if f.order == nil {
+		f.order = slices.Clone(f.targets)
+		f.random.Shuffle(len(f.order), func(i, k int) { f.order[i], f.order[k] = f.order[k], f.order[i] })
+	}
+	list := f.order[:n]
+	f.order = f.order[n:]
+	return list
+}
+
+// probe answers the daemons' probes as connections would.
+func (f *flowSim) probe() {
+	f.probes = slices.DeleteFunc(f.probes, func(p probing) bool {
+		if f.now < p.doneAt {
+			return false
+		}
+		p.daemon.mu.Lock()
+		defer p.daemon.mu.Unlock()
+		p.daemon.core.ProbeDone(f.now, p.probe, f.outcome(p.probe.Address))
+		return true
+	})
+	for _, d := range f.daemons {
+		for len(d.probeQueue) > 0 {
+			p := <-d.probeQueue
+			took := simStep
+			if f.outcome(p.Address) == steer.Silent {
+				took = silentProbeTime
+			}
+			f.probes = append(f.probes, probing{daemon: d.Daemon, probe: p, doneAt: f.now + took})
+		}
+	}
+}
+
+// outcome returns what a connection to an address shows.
+func (f *flowSim) outcome(a netip.AddrPort) steer.Outcome {
+	switch x := f.atAddr[a]; {
+	case x == nil || x.dark:
+		return steer.Silent
+	case !x.running:
+		return steer.Refused
+	}
+	return steer.Accepted
+}
+
+// rotate has the fabric check which daemons are ready.
+func (f *flowSim) rotate() {
+	if f.now-f.checkedAt < rotationCheck {
+		return
+	}
+	f.checkedAt = f.now
+	var rotation []int
+	for i, d := range f.daemons {
+		f.misses[i]++
+		if d.returns == 0 && d.wasReady && !d.leaving {
+			f.misses[i] = 0
+		}
+		if f.misses[i] < missedChecks {
+			rotation = append(rotation, i)
+		}
+	}
+	if !slices.Equal(rotation, f.rotation) {
+		f.rotation, f.rotatedAt = rotation, f.now
+	}
+}
+
+// restart ends a daemon after a graceful stop and starts it again.
+func (f *flowSim) restart(i int) {
+	d := f.daemons[i]
+	d.mu.Lock()
+	d.leaving, d.summaryUrgent = true, true
+	d.mu.Unlock()
+	f.after(1800, func() { d.returns, d.undisturbed = f.now+clock.Second, false })
+}
+
+// daemonFor returns the daemon to which the fabric sends a flow's packet: mostly one by
+// the flow's hash, after changes any.
+func (f *flowSim) daemonFor(x *simFlow) *simDaemon {
+	if f.now-f.rotatedAt < scatterTime && f.random.IntN(4) == 0 {
+		return f.daemons[f.rotation[f.random.IntN(len(f.rotation))]]
+	}
+	hash := x.tuple.Hash()
+	best := slices.MaxFunc(f.rotation, func(i, k int) int {
+		return cmp.Compare(flow.Score(hash, uint64(i)), flow.Score(hash, uint64(k)))
+	})
+	return f.daemons[best]
+}
+
+// send sends a packet of a flow's client. Its wire form names the flow and the packet.
+func (f *flowSim) send(x *simFlow, s flow.Segment) {
+	if len(f.rotation) == 0 {
+		return
+	}
+	d := f.daemonFor(x)
+	if d.returns != 0 {
+		return
+	}
+	s.Tuple, s.Seq, s.Cookie = x.tuple, x.seq, x.cookie
+	if !s.Open {
+		s.Ack = x.ack
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(x.tuple.Client[2])<<24|uint32(x.tuple.Client[3])<<16|uint32(x.tuple.ClientPort))
+	b = binary.BigEndian.AppendUint32(b, x.seq)
+	b = binary.BigEndian.AppendUint16(b, s.Len)
+	if s.Open {
+		b = append(b, 1)
+	}
+	d.handlePacket(b, &s)
+}
+
+// receive takes a packet at the target that a daemon sent it to.
+func (f *flowSim) receive(b []byte, t *steer.Target) {
+	x := f.byTuple[f.tupleOf(binary.BigEndian.Uint32(b))]
+	h := f.atAddr[t.Address]
+	if x == nil || x.state == over || h == nil || !h.running || h.entry.Number != t.Number {
+		return
+	}
+	isOpen, seq, n := len(b) > 10, binary.BigEndian.Uint32(b[4:]), binary.BigEndian.Uint16(b[8:])
+	switch {
+	case isOpen && x.target == nil:
+		x.target, x.answerAt = h, f.now+simStep
+		h.held[x.tuple] = true
+	case isOpen || n == 0 || x.target != h || !h.held[x.tuple]:
+	case x.state == waiting && seq == x.seq && x.answerAt == 0:
+		x.answerAt, x.closes = f.now+simStep, h.entry.Draining
+	}
+}
+
+// tupleOf returns the tuple of a client's number.
+func (f *flowSim) tupleOf(n uint32) flow.Tuple {
+	t := flow.Tuple{Client: [4]byte{100, 64, byte(n >> 24), byte(n >> 16)}, ClientPort: uint16(n), ServicePort: 80}
+	t.ServiceAddress = [4]byte{198, 18, 0, byte(n%uint32(len(simPools)) + 1)}
+	return t
+}
+
+// open has a client open a new flow.
+func (f *flowSim) open(i int) {
+	f.ports++
+	x := &simFlow{
+		index: i, tuple: f.tupleOf(uint32(f.ports)), seq: 1000, ack: 5000,
+		pace: f.between(300, 3000), limit: f.between(1000, 1200), idle: i%idleShare == 0,
+	}
+	f.flows[i], f.byTuple[x.tuple] = x, x
+	f.await(x, opening)
+	f.send(x, flow.Segment{Open: true})
+}
+
+// await has a client wait for the answer to a packet that it sends now.
+func (f *flowSim) await(x *simFlow, p flowPhase) {
+	x.state, x.sentAt, x.retryAt, x.retries, x.answerAt = p, f.now, f.now+firstRetry, 0, 0
+}
+
+// act does what is due of a flow.
+func (f *flowSim) act(x *simFlow) {
+	switch {
+	case x.state == over:
+		if f.now-x.endedAt >= firstRetry {
+			f.open(x.index)
+		}
+	case x.answerAt != 0 && f.now >= x.answerAt:
+		f.answer(x)
+	case x.state == resting && f.now >= x.nextAt:
+		f.await(x, waiting)
+		f.send(x, flow.Segment{Len: requestLen})
+	case x.state == resting:
+	case f.now-x.sentAt >= x.limit:
+		f.finish(x)
+	case f.now >= x.retryAt:
+		x.retries++
+		x.retryAt = f.now + min(maxRetry, firstRetry<<x.retries)
+		if x.state == opening {
+			f.send(x, flow.Segment{Open: true, Retransmissions: x.retries})
+		} else {
+			f.send(x, flow.Segment{Len: requestLen})
+		}
+	}
+}
+
+// answer has a client take the answer of its target.
+func (f *flowSim) answer(x *simFlow) {
+	x.answerAt = 0
+	if x.state == opening {
+		x.cookie = uint32(x.target.entry.Code())
+		x.seq++
+	} else {
+		x.seq += requestLen
+		x.ack += answerLen
+	}
+	x.state = resting
+	x.nextAt = f.now + f.between(x.pace*8/10, x.pace*12/10)
+	if x.idle {
+		x.nextAt = f.now + f.between(5000, 20000)
+	}
+	f.send(x, flow.Segment{Close: x.closes})
+	if x.closes {
+		f.finish(x)
+	}
+}
+
+// finish ends a flow at its client.
+func (f *flowSim) finish(x *simFlow) {
+	x.state, x.endedAt = over, f.now
+	if x.target != nil {
+		delete(x.target.held, x.tuple)
+	}
+}
+
+// noteReset takes a daemon's reset of a flow.
+func (f *flowSim) noteReset(by schema.VMID, e *steer.FlowReset) {
+	x := f.byTuple[e.Tuple]
+	if x == nil || x.state == over || x.ack-e.Ack > resetWindow {
+		return
+	}
+	if h := x.target; x.state != opening && h != nil && h.running && !h.dark && h.held[x.tuple] {
+		f.wrong = append(f.wrong, wrongReset{
+			at: f.now, target: h.entry.ID, daemon: by, reason: e.Reason, old: e.Ack != x.ack, busy: x.state == waiting,
+		})
+	}
+	x.reset, x.reason = true, e.Reason
+	f.finish(x)
+}
+
+// resetTimes sums up the ends of the flows of dead targets.
+type resetTimes struct {
+	// flows is how many there were, reset how many daemons reset, timedOut how many had
+	// a request that waited until its client gave up.
+	flows, reset, timedOut int
+	reasons                map[steer.Reason]int
+	// byDeath are the times from the target's end to the reset, byRemoval those from the
+	// removal of its entry if the reset came later.
+	byDeath, byRemoval []clock.Milli
+	// late describes the flows that were open for longer than the bound.
+	late []string
+}
+
+// resetTimes returns the times of the flows of targets that left, or else of those that
+// vanished, with a bound after the end and the removal of the entry.
+func (f *flowSim) resetTimes(left bool, bound clock.Milli) *resetTimes {
+	r := &resetTimes{reasons: make(map[steer.Reason]int)}
+	for _, d := range f.deaths {
+		if d.left != left {
+			continue
+		}
+		for _, x := range d.flows {
+			r.flows++
+			switch {
+			case x.state != over:
+			case !x.reset:
+				r.timedOut++
+			default:
+				r.reset++
+				r.reasons[x.reason]++
+				r.byDeath = append(r.byDeath, x.endedAt-d.at)
+				if x.endedAt >= d.removedAt && d.removedAt != 0 {
+					r.byRemoval = append(r.byRemoval, x.endedAt-d.removedAt)
+				}
+			}
+			if x.state != over || x.endedAt > max(d.at, d.removedAt)+bound {
+				r.late = append(r.late, fmt.Sprintf("%s at %s, which ended at %d", x.tuple.Source(), x.target.entry.ID, d.at))
+			}
+		}
+	}
+	slices.Sort(r.byDeath)
+	slices.Sort(r.byRemoval)
+	return r
+}
+
+// String implements fmt.Stringer.
+func (r *resetTimes) String() string {
+	quantiles := func(list []clock.Milli) string {
+		if len(list) == 0 {
+			return "none"
+		}
+		return fmt.Sprintf("%d/%d/%d ms", list[len(list)/2], list[len(list)*9/10], list[len(list)-1])
+	}
+	return fmt.Sprintf("%d flows, %d reset %v, %d timed out, %d late; median/90%%/longest after the end %s, after the entry (%d) %s",
+		r.flows, r.reset, r.reasons, r.timedOut, len(r.late), quantiles(r.byDeath), len(r.byRemoval), quantiles(r.byRemoval))
+}
+
+// wrongResets sums up the resets of flows whose targets serve.
+func (f *flowSim) wrongResets() string {
+	if len(f.wrong) == 0 {
+		return ""
+	}
+	reasons, targets, daemons := map[steer.Reason]int{}, map[schema.TargetID]bool{}, map[schema.VMID]bool{}
+	old, busy := 0, 0
+	for _, w := range f.wrong {
+		reasons[w.reason]++
+		targets[w.target], daemons[w.daemon] = true, true
+		if w.old {
+			old++
+		}
+		if w.busy {
+			busy++
+		}
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d of %d open flows reset at %d targets that serve them, by %d daemons:", len(f.wrong), len(f.flows), len(targets), len(daemons))
+	for r := range steer.Reasons {
+		if reasons[r] > 0 {
+			fmt.Fprintf(&b, " %s %d", r, reasons[r])
+		}
+	}
+	fmt.Fprintf(&b, "; %d by old records, %d with a request under way; the first:", old, busy)
+	for _, w := range f.wrong[:min(3, len(f.wrong))] {
+		fmt.Fprintf(&b, " %s by %s at %d (%s)", w.target, w.daemon, w.at, w.reason)
+	}
+	return b.String()
+}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -55,7 +55,7 @@
 	d.forwardReleased(d.core.Releases(now))
 	d.discardEnded(now)
 	for _, e := range d.core.Resets() {
-		d.dataPlane.Reset(&e.Tuple, e.Ack)
+		d.reset(&e)
 		d.metrics.idleFlowsEnded.Inc()
 		d.log.sampledf("flow: client=%s service=%s target=%s action=reset reason=%s while=silent",
 			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -68,7 +68,7 @@
 	for i := range list {
 		x := &list[i]
 		for _, p := range d.queued.take(x.Tuple) {
-			d.dataPlane.Deliver(p.data, x.Target.Address, x.Target.Number, uint32(x.Target.Code))
+			d.deliver(p.data, x.Target)
 		}
 		d.metrics.waited[x.Route.Class].Update(x.Waited.Duration().Seconds())
 	}
--- a/internal/entry/sim_test.go
+++ b/internal/entry/sim_test.go
@@ -46,6 +46,9 @@
 	down bool
 	// dropped is the revision before which the history is gone.
 	dropped schema.Version
+	// routes and pools are those of the configuration.
+	routes []fleet.Route
+	pools  []fleet.Pool
 }
 
 // put writes a target's entry.
@@ -62,6 +65,14 @@
 	s.changes = append(s.changes, fleet.Update{Topic: fleet.Targets, Rev: s.rev, Targets: []fleet.Target{t}})
 }
 
+// write writes a target's entry as the target states it.
+func (s *simStore) write(t fleet.Target) {
+	s.rev++
+	t.Rev = s.rev
+	s.targets[t.ID] = t
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Targets, Rev: s.rev, Targets: []fleet.Target{t}})
+}
+
 // remove removes a target's entry.
 func (s *simStore) remove(id schema.TargetID) {
 	s.rev++
@@ -73,7 +84,7 @@
 func (s *simStore) configure() {
 	s.rev++
 	s.version++
-	s.changes = append(s.changes, fleet.Update{Topic: fleet.Config, Rev: s.rev, Table: &fleet.Table{Version: s.version, Rev: s.rev}})
+	s.changes = append(s.changes, fleet.Update{Topic: fleet.Config, Rev: s.rev, Table: &fleet.Table{Version: s.version, Rev: s.rev, Routes: s.routes, Pools: s.pools}})
 }
 
 // takeOut marks a data centre out.
@@ -179,6 +190,8 @@
 	starts   uint64
 	// cut is set while no daemon reaches another.
 	cut bool
+	// started is called for each daemon that starts, if set.
+	started func(i int, d *simDaemon)
 }
 
 // boundsOf returns the bounds of a deployment by its bound for drains and versions.
@@ -223,6 +236,9 @@
 	d.sendToPeer = func(data []byte, to netip.AddrPort) {
 		s.messages = append(s.messages, message{from: cfg.Peer, to: to, data: data})
 	}
+	if s.started != nil {
+		s.started(i, d)
+	}
 }
 
 // run lets a time pass and calls each after each step.
