internal/coordination/steer: a target without an entry is asked before its flows end

Cause: the absence of an entry was taken for the target's death, 2.5 s after it vanished, 0.3 s after a drain. The store removes what is not written in time, for whatever reason: it may refuse, lose or delay writes while all reads work, or a target may be cut off from it. Nothing asked the target; only an answer that this daemon saw itself saved its flows. Seven daemons see each target many times a second, 67 before 150 targets once in seconds, a daemon whose flow has moved on never. And a target that answered once after its entry had lapsed was never found dead. Change: absence is the reason to ask, not the proof. Proof is a newer start under the ID or with the address, a refused connection, or two silent ones once the entry has been gone and the store has answered for 2.5 s. Daemons report the answers of absent targets; one that answers anybody isn't asked, one that accepts is asked again after 1 s and then each 2 s. Why it works: what an entry's absence can't tell, the target itself does, at any size. The cost is a connection a target and daemon with flows there, at most one a second.

--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -52,10 +52,11 @@
 	}
 	t.Target = e.Target
 	t.limiter = c.limiter(t.Pool)
+	c.recordAddress(t)
 	if e.Gone {
 		c.markGone(e.GoneAt, t)
 	} else {
-		t.gone, t.replaced = false, false
+		c.markPresent(t)
 	}
 }
 
@@ -108,6 +109,9 @@
 		if c.byID[t.ID] == t {
 			delete(c.byID, t.ID)
 		}
+		if c.byAddress[t.Address] == t {
+			delete(c.byAddress, t.Address)
+		}
 		return true
 	})
 }
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -6,15 +6,6 @@
 	"coltsfootdock/internal/state/flow"
 )
 
-const (
-	// goneGrace is how long a target whose entry vanished without a drain may
-	// still come back.
-	goneGrace = 2500 * clock.Milli(1)
-	// lateAnswerGrace is how long after a target's removal its last answers may
-	// still arrive.
-	lateAnswerGrace = 300 * clock.Milli(1)
-)
-
 // Decide returns what to do with a packet. fresh tells whether the configuration
 // was confirmed recently enough to reject a flow because of it.
 func (c *Core) Decide(now clock.Milli, s *flow.Segment, fresh bool) Verdict {
@@ -116,6 +107,7 @@
 	if c.targetLost(now, t, r) {
 		return c.resetOpen(s, t, route, r, TargetGone)
 	}
+	c.askAbsent(now, t)
 	if r != nil && c.mayReset(r) && c.unresponsive(now, t) {
 		return c.resetOpen(s, t, route, r, TargetUnresponsive)
 	}
@@ -232,20 +224,13 @@
 
 // targetLost reports whether a flow cannot continue because its target is gone.
 func (c *Core) targetLost(now clock.Milli, t *Target, r *flowRecord) bool {
-	if !t.gone {
-		return false
-	}
-	if t.replaced {
+	switch {
+	case t.replaced:
 		return c.replacedFlowLost(t, r)
+	case t.gone:
+		return c.isLost(now, t)
 	}
-	if r != nil && r.lastAck >= t.goneAt || t.answers.lastAnswer > t.goneAt+lateAnswerGrace {
-		return false // it still answers: only its entry is gone
-	}
-	gone := now - t.goneAt
-	if t.drained && c.storeFailedAt < t.goneAt-goneGrace {
-		return gone > lateAnswerGrace
-	}
-	return gone > goneGrace && now-c.storeFailedAt > goneGrace
+	return false
 }
 
 // replacedFlowLost reports whether a flow ended with a start of its target that a newer
--- a/internal/coordination/steer/evaluate.go
+++ b/internal/coordination/steer/evaluate.go
@@ -83,7 +83,7 @@
 	defer c.evaluatePaths()
 	c.suspects = slices.DeleteFunc(c.suspects, func(t *Target) bool {
 		t.answers.expire(now)
-		t.suspect = !t.gone && (t.answers.missCount > 0 || t.answers.peers.reporters+t.localPeerMisses > 0 || t.provedDead())
+		t.suspect = !t.replaced && (t.answers.missCount > 0 || t.answers.peers.reporters+t.localPeerMisses > 0 || !t.gone && t.provedDead())
 		return !t.suspect
 	})
 	if len(c.suspects) == 0 {
@@ -91,6 +91,9 @@
 	}
 	all := make(map[schema.DataCentreID]*evidence)
 	for _, t := range c.suspects {
+		if t.gone {
+			continue
+		}
 		e := all[t.DataCentre]
 		if e == nil {
 			e = &evidence{lastAnswer: c.lastAnswerDCs[t.DataCentre]}
@@ -148,15 +151,29 @@
 // daemon that gets no answers from any target can't tell, nor can one that has
 // just stalled: clients retransmitted packets that waited here.
 func (c *Core) unresponsive(now clock.Milli, t *Target) bool {
-	if t.gone || c.NoTargetAnswers(now) || c.justStalled(now) {
+	if t.gone || !c.trustsMisses(now) {
 		return false
 	}
-	if t.provedDead() {
+	if t.provedDead() || t.missesShowSilence(now) {
 		return true
 	}
 	var e evidence
 	e.add(&t.answers)
-	return e.unresponsive(now) || c.unresponsiveDCs[t.DataCentre] && e.silent(now)
+	return c.unresponsiveDCs[t.DataCentre] && e.silent(now)
+}
+
+// trustsMisses reports whether misses may be a target's: this daemon gets answers and
+// has not just stalled.
+func (c *Core) trustsMisses(now clock.Milli) bool {
+	return !c.NoTargetAnswers(now) && !c.justStalled(now)
+}
+
+// missesShowSilence reports whether the misses of a target alone show that it answers
+// nobody.
+func (t *Target) missesShowSilence(now clock.Milli) bool {
+	var e evidence
+	e.add(&t.answers)
+	return e.unresponsive(now)
 }
 
 // avoids reports whether new flows should go elsewhere than to a target.
--- a/internal/coordination/steer/load.go
+++ b/internal/coordination/steer/load.go
@@ -94,7 +94,10 @@
 				confirmed, since = n, first
 			}
 		}
-		if t.gone || misses == 0 && (missesOnly || t.load.flows == 0 && now-t.answers.lastAnswer > missTTL) {
+		if t.gone {
+			misses, confirmed = 0, 0
+		}
+		if t.gone && !t.answersAbsent() || misses == 0 && (missesOnly || t.load.flows == 0 && now-t.answers.lastAnswer > missTTL) {
 			continue
 		}
 		latency := t.latency.own()
@@ -196,7 +199,7 @@
 				t.localPeerMisses += l.misses
 				c.addSuspect(t)
 			}
-			if l.confirmedMisses > 0 && l.firstMiss > c.lastAnswerDCs[t.DataCentre] && !slices.Contains(reported, t.DataCentre) {
+			if l.confirmedMisses > 0 && !t.gone && l.firstMiss > c.lastAnswerDCs[t.DataCentre] && !slices.Contains(reported, t.DataCentre) {
 				reported = append(reported, t.DataCentre)
 				c.confirmingPeers[t.DataCentre]++
 			}
--- a/internal/coordination/steer/path.go
+++ b/internal/coordination/steer/path.go
@@ -64,7 +64,7 @@
 func (c *Core) evaluatePaths() {
 	counts := make(map[schema.DataCentreID]PathChange)
 	for _, t := range c.suspects {
-		if t.DataCentre == c.localDC {
+		if t.gone || t.DataCentre == c.localDC {
 			continue
 		}
 		own, _ := t.answers.missesSince(c.path(t.DataCentre).lastAnswer, false)
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -82,8 +82,14 @@
 	lastOutcome Outcome
 	lastBegan   clock.Milli
 	lastDone    clock.Milli
-	// silentBegan is when the last probe without an answer began.
+	// silentBegan is when the last probe without an answer began, silentCount the
+	// number of such probes since the last answer.
 	silentBegan clock.Milli
+	silentCount int
+	// askAt is when a target that is absent and accepted a probe is asked again,
+	// askInterval the time until then.
+	askAt       clock.Milli
+	askInterval clock.Milli
 	// dead is set once a probe proved that the target does not answer.
 	dead bool
 	// reportedAt is when this daemon or a peer proved the target dead.
@@ -96,7 +102,7 @@
 // had no answer in time.
 func (c *Core) requestProbe(t *Target, sent clock.Milli, confirmed bool) {
 	p := &t.probe
-	if t.gone || t.Draining || t.answers.lastAnswerAnywhere() >= sent {
+	if t.replaced || t.Draining && !t.gone || t.provedDead() && t.gone || t.answers.lastAnswerAnywhere() >= sent {
 		return
 	}
 	if p.firstMiss == 0 {
@@ -104,11 +110,21 @@
 	}
 	p.confirmed = p.confirmed || confirmed
 	if !p.queued {
-		p.queued = true
-		c.probeQueue = append(c.probeQueue, t)
+		c.queueProbe(t)
 	}
 }
 
+// queueProbe queues a target for probes.
+func (c *Core) queueProbe(t *Target) {
+	t.probe.queued = true
+	c.probeQueue = append(c.probeQueue, t)
+}
+
+// forget ends what earlier probes and unanswered packets showed.
+func (p *probeState) forget() {
+	p.dead, p.confirmed, p.firstMiss, p.silentBegan, p.silentCount = false, false, 0, 0, 0
+}
+
 // Probes returns the probes to start now. Each must be completed by ProbeDone.
 func (c *Core) Probes(now clock.Milli) []Probe {
 	if len(c.probeQueue) == 0 {
@@ -118,8 +134,13 @@
 	c.probeQueue = slices.DeleteFunc(c.probeQueue, func(t *Target) bool {
 		p := &t.probe
 		c.checkSilentProbe(now, t)
-		if t.gone || t.answers.lastAnswerAnywhere() >= p.firstMiss || !p.dead && now-p.firstMiss > probeReasonTTL {
-			p.queued, p.dead, p.confirmed, p.firstMiss, p.silentBegan = false, false, false, 0, 0
+		if t.replaced || t.answers.lastAnswerAnywhere() >= p.firstMiss || !p.dead && now-p.firstMiss > probeReasonTTL {
+			p.queued = false
+			p.forget()
+			return true
+		}
+		if t.gone && p.dead {
+			p.queued = false // known for good
 			return true
 		}
 		if !p.active && now-p.lastBegan >= probeInterval && c.activeProbes < MaxProbes {
@@ -146,23 +167,30 @@
 	was := p.dead
 	switch {
 	case o == Accepted:
-		p.dead, p.confirmed, p.firstMiss, p.silentBegan = false, false, 0, 0
+		p.forget()
+		p.askInterval = min(maxAskInterval, max(minAskInterval, 2*p.askInterval))
+		p.askAt = now + p.askInterval
 	case !p.queued:
 	case o == Refused:
 		c.markDead(now, t)
 	case now-r.Began <= maxProbeTime:
 		p.silentBegan = r.Began
+		p.silentCount++
 		c.checkSilentProbe(now, t)
 	}
 	return p.dead != was
 }
 
 // checkSilentProbe marks a target as dead if a probe had no answer, a client
-// retransmitted a packet too, and a packet that this daemon forwarded after the
-// probe began was answered, so that the fault is not this daemon's own connection.
+// retransmitted a packet too or the target's entry is gone for long, and a packet that
+// this daemon forwarded after the probe began was answered, so that the fault is not
+// this daemon's own connection.
 func (c *Core) checkSilentProbe(now clock.Milli, t *Target) {
 	p := &t.probe
-	if p.silentBegan != 0 && p.confirmed && !p.dead && c.latestAnsweredSend >= p.silentBegan && t.answers.lastAnswerAnywhere() < p.firstMiss {
+	if p.silentBegan == 0 || p.dead || c.latestAnsweredSend < p.silentBegan || t.answers.lastAnswerAnywhere() >= p.firstMiss {
+		return
+	}
+	if p.confirmed || c.silenceCounts(now, t) {
 		c.markDead(now, t)
 	}
 }
@@ -174,6 +202,7 @@
 		return
 	}
 	t.probe.dead = true
+	c.foundLost = c.foundLost || t.gone
 	c.addSuspect(t)
 	c.reportDead(now, t)
 }
--- a/internal/coordination/steer/proof.go
+++ b/internal/coordination/steer/proof.go
@@ -15,12 +15,10 @@
 const (
 	// Unproved means that there is no reason to reset flows.
 	Unproved ProofKind = "none"
-	// ByDrain means that the target's entry was removed while it was draining,
-	// ByVanishing that it was removed without a drain, ByReplacement that a newer
-	// start of the target replaced this one.
-	ByDrain       ProofKind = "drained"
-	ByVanishing   ProofKind = "vanished"
+	// ByReplacement means that a newer start of the target replaced this one,
+	// ByAddress that a newer target has its address.
 	ByReplacement ProofKind = "replaced"
+	ByAddress     ProofKind = "address"
 	// ByRoute means that the flow's route was removed.
 	ByRoute ProofKind = "route"
 	// ByProbe means that a probe failed.
@@ -32,7 +30,21 @@
 )
 
 // ProofKinds lists all kinds of proof.
-var ProofKinds = []ProofKind{Unproved, ByDrain, ByVanishing, ByReplacement, ByRoute, ByProbe, ByMisses, ByDataCentre}
+var ProofKinds = []ProofKind{Unproved, ByReplacement, ByAddress, ByRoute, ByProbe, ByMisses, ByDataCentre}
+
+// Removal is how a target's entry went away.
+type Removal string
+
+// The removals.
+const (
+	// Present means that the entry is there. Drained means that it was removed while
+	// the target was draining, Vanished without a drain, Replaced that a newer start
+	// took its place.
+	Present  Removal = "present"
+	Drained  Removal = "drained"
+	Vanished Removal = "vanished"
+	Replaced Removal = "replaced"
+)
 
 // noProbe is the probe outcome of a target that was never probed.
 const noProbe = "none"
@@ -42,11 +54,11 @@
 type ResetProof struct {
 	Kind ProofKind
 	// Gone is set if the target's entry was removed or replaced, GoneAge ago and by
-	// revision GoneRev. Removal tells how: drained, vanished or replaced.
+	// revision GoneRev.
 	Gone    bool
 	GoneAge clock.Milli
 	GoneRev schema.Version
-	Removal ProofKind
+	Removal Removal
 	// StoreFailedAge is the age of the last failed read of the store, here or at a
 	// peer.
 	StoreFailedAge clock.Milli
@@ -76,7 +88,7 @@
 
 // String returns the proof in the form of a log line's fields.
 func (p ResetProof) String() string {
-	entry := "present"
+	entry := string(Present)
 	if p.Gone {
 		entry = fmt.Sprintf("%s/%d/%dms", p.Removal, p.GoneRev, p.GoneAge)
 	}
@@ -124,7 +136,7 @@
 	case RouteGone:
 		return ByRoute
 	case TargetGone:
-		return t.removal()
+		return c.absenceKind(now, t)
 	case TargetUnresponsive:
 		return c.silenceKind(now, t)
 	}
@@ -141,23 +153,34 @@
 	switch {
 	case e.unresponsive(now):
 		return ByMisses
-	case c.unresponsiveDCs[t.DataCentre]:
+	case !t.gone && c.unresponsiveDCs[t.DataCentre]:
 		return ByDataCentre
 	}
 	return Unproved
 }
 
+// absenceKind returns the kind of proof that a target without an entry is gone.
+func (c *Core) absenceKind(now clock.Milli, t *Target) ProofKind {
+	switch {
+	case t.replaced:
+		return ByReplacement
+	case c.isSucceeded(t):
+		return ByAddress
+	}
+	return c.silenceKind(now, t)
+}
+
 // removal returns how a target's entry went away.
-func (t *Target) removal() ProofKind {
+func (t *Target) removal() Removal {
 	switch {
 	case !t.gone:
-		return Unproved
+		return Present
 	case t.replaced:
-		return ByReplacement
+		return Replaced
 	case t.drained:
-		return ByDrain
+		return Drained
 	}
-	return ByVanishing
+	return Vanished
 }
 
 // currentProof returns the proof by which a target's flows are reset now, if they are.
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -1,6 +1,9 @@
 package steer
 
-import "coltsfootdock/internal/clock"
+import (
+	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/flow"
+)
 
 const (
 	// scanInterval is the interval between two scans of all flows.
@@ -26,6 +29,10 @@
 	}
 	c.evaluateTargets(now)
 	c.resetUnresponsive(now)
+	c.askAbsentTargets(now)
+	if c.foundLost {
+		c.resetLost(now)
+	}
 	for _, l := range c.limiters {
 		c.expireLost(now, l)
 		c.expireWaiting(now, l)
@@ -74,8 +81,7 @@
 		case silent > idleTimeout, r.closed && silent > closedTTL, r.openedAt != 0 && silent > openLifetime:
 			c.flows.remove(tuple)
 			continue
-		case r.openedAt == 0 && !r.closed && c.targetLost(now, r.target, r):
-			c.resetFlow(tuple, r, TargetGone)
+		case c.resetIfLost(now, tuple, r):
 			continue
 		}
 		if r.closed {
@@ -98,6 +104,23 @@
 	}
 }
 
+// resetIfLost resets an open flow whose target is gone and reports whether it did.
+func (c *Core) resetIfLost(now clock.Milli, tuple flow.Tuple, r *flowRecord) bool {
+	if r.openedAt != 0 || r.closed || !c.targetLost(now, r.target, r) {
+		return false
+	}
+	c.resetFlow(tuple, r, TargetGone)
+	return true
+}
+
+// resetLost resets the open flows of targets that have just turned out to be gone.
+func (c *Core) resetLost(now clock.Milli) {
+	c.foundLost = false
+	for tuple, r := range c.flows.records {
+		c.resetIfLost(now, tuple, r)
+	}
+}
+
 // Resets returns the flows to reset since the last call.
 func (c *Core) Resets() []FlowReset {
 	list := c.resets
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -12,9 +12,10 @@
 //   - A packet goes only to the start of a target that its cookie names.
 //   - A first packet goes only to a target of one of the route's pools that is
 //     neither draining nor gone nor in a data centre that is out.
-//   - An established flow is reset only if its target is known to be gone, its
-//     route was removed, or the traffic of several flows or a failed probe shows
-//     that the target answers nobody. Missing information alone never resets it.
+//   - An established flow is reset only if a newer start has its target's ID or
+//     address, its route was removed, or the traffic of several flows or a failed
+//     probe shows that the target answers nobody. Missing information, the absence
+//     of the target's entry included, never resets it.
 package steer
 
 import (
@@ -68,7 +69,8 @@
 	NoTarget
 	// UnknownCookie means that the cookie names no target or is ambiguous.
 	UnknownCookie
-	// TargetGone means that the flow's target was removed or replaced.
+	// TargetGone means that the flow's target was replaced, or has no entry and
+	// does not answer.
 	TargetGone
 	// TargetUnresponsive means that the flow's target answers nobody.
 	TargetUnresponsive
@@ -181,9 +183,13 @@
 
 	// targets holds all starts of targets sorted by code, byID the latest start
 	// of each target, colliding the targets that share a code.
-	targets       []*Target
-	byCode        map[fleet.Code]*Target
-	byID          map[schema.TargetID]*Target
+	targets []*Target
+	byCode  map[fleet.Code]*Target
+	byID    map[schema.TargetID]*Target
+	// byAddress holds the target of each address that started last.
+	byAddress map[netip.AddrPort]*Target
+	// absent lists the targets that may be absent.
+	absent        []*Target
 	colliding     map[fleet.Code][]*Target
 	routes        map[serviceKey]*Route
 	removedRoutes map[serviceKey]clock.Milli
@@ -222,6 +228,8 @@
 	resets    []FlowReset
 	// slownessChanges are the changes that SlownessChanges has not returned yet.
 	slownessChanges []SlownessChange
+	// foundLost is set once a probe showed that an absent target is gone.
+	foundLost bool
 	// suspects are the targets that left packets unanswered.
 	suspects []*Target
 	// probeQueue holds the targets to probe, activeProbes counts the probes under
@@ -284,6 +292,7 @@
 		random:             rand.New(rand.NewPCG(seed, seed)),
 		byCode:             make(map[fleet.Code]*Target),
 		byID:               make(map[schema.TargetID]*Target),
+		byAddress:          make(map[netip.AddrPort]*Target),
 		colliding:          make(map[fleet.Code][]*Target),
 		routes:             make(map[serviceKey]*Route),
 		removedRoutes:      make(map[serviceKey]clock.Milli),
@@ -354,6 +363,16 @@
 	}
 	t.gone, t.goneAt, t.drained = true, at, t.Draining
 	t.goneRev = c.removalRev(t.ID)
+	t.probe.askAt, t.probe.askInterval = 0, 0
+	c.absent = append(c.absent, t)
+}
+
+// markPresent ends the absence of a target whose entry is back.
+func (c *Core) markPresent(t *Target) {
+	if t.gone {
+		t.probe.forget()
+	}
+	t.gone, t.replaced = false, false
 }
 
 // serviceKeyOf returns the key of the address that a flow was sent to.
