internal/coordination/steer: probes are silent only beside answers that came in time

Cause: a probe without an answer for 160 ms counted once a packet that was forwarded after it began had its answer, whenever that came. While the daemon sends a new configuration to its peers all packets wait at its own link for longer than a probe does, so that the probe is silent, clients send again, and the answer that clears the daemon's own connection comes just after. And the three packets of one probe may be lost together. Change: silence is judged when the probe ends, by answers that came until then, and two probes in a row must be silent; the second follows at once. So for absent targets. Why it works: a packet that leaves by the same link after the probe's has its answer later than the probe, so an answer in time shows that the link was free. Red before: TestSlowLinkOfThisDaemonIsNotSilence, TestOneSilentProbeIsNotEnough. Tests: two that took one silent probe for proof now run two; the model's silent probes take 150 ms, as they ended in the moment in which they began, where no answer can come.

--- a/internal/coordination/steer/absence.go
+++ b/internal/coordination/steer/absence.go
@@ -13,8 +13,6 @@
 	// goneGrace is how long a target must be absent, and the store answer, until
 	// silence shows that it is gone.
 	goneGrace = 2500 * clock.Milli(1)
-	// silentProbes is the number of probes in a row that must be silent for that.
-	silentProbes = 2
 	// answerLifetime is how long an answer of an absent target spares a probe of it.
 	answerLifetime = clock.Second
 	// minAskInterval and maxAskInterval bound the time between an accepted probe of
@@ -87,5 +85,5 @@
 // silenceCounts reports whether a target's silent probes may show that it is gone: it
 // is absent for long, and not because the store failed.
 func (c *Core) silenceCounts(now clock.Milli, t *Target) bool {
-	return t.isAbsent() && t.probe.silentCount >= silentProbes && now-t.goneAt > goneGrace && now-c.storeFailedAt > goneGrace
+	return t.isAbsent() && now-t.goneAt > goneGrace && now-c.storeFailedAt > goneGrace
 }
--- a/internal/coordination/steer/model_test.go
+++ b/internal/coordination/steer/model_test.go
@@ -37,6 +37,15 @@
 	// it sends are lost.
 	stalled bool
 	cutOff  bool
+	// probes are under way.
+	probes []modelProbe
+}
+
+// modelProbe is a probe that ends at a time.
+type modelProbe struct {
+	Probe
+	outcome Outcome
+	ends    clock.Milli
 }
 
 // modelFlow is a client's flow.
@@ -84,6 +93,7 @@
 // restart replaces a daemon's process by a new one that knows nothing.
 func (m *model) restart(i int) {
 	m.lastSeed++
+	m.daemons[i].probes = nil
 	m.daemons[i].core = New(schema.DataCentreID([]string{"a", "a", "b"}[i]), m.lastSeed)
 }
 
@@ -202,19 +212,26 @@
 	}
 }
 
-// runProbes completes the probes of a daemon.
+// runProbes begins and ends the probes of a daemon. Silent ones take 150 ms.
 func (m *model) runProbes(i int) {
 	n := m.daemons[i]
+	n.probes = slices.DeleteFunc(n.probes, func(p modelProbe) bool {
+		if p.ends > m.now {
+			return false
+		}
+		n.core.ProbeDone(m.now, p.Probe, p.outcome)
+		return true
+	})
 	for _, p := range n.core.Probes(m.now) {
 		h := m.targets[p.Address.Addr().As4()[3]-1]
-		o := Accepted
+		o, ends := Accepted, m.now
 		switch {
 		case n.cutOff || h.unresponsive:
-			o = Silent
+			o, ends = Silent, m.now+150
 		case !h.running:
 			o = Refused
 		}
-		n.core.ProbeDone(m.now, p, o)
+		n.probes = append(n.probes, modelProbe{Probe: p, outcome: o, ends: ends})
 	}
 }
 
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -20,6 +20,9 @@
 	maxProbeTime = 250 * clock.Milli(1)
 	// probeReasonTTL is how long an unanswered packet is a reason for probes.
 	probeReasonTTL = 3 * clock.Second
+	// silentProbes is the number of probes that must have no answer: the packets of
+	// one may be lost.
+	silentProbes = 2
 	// deadReportCount is the number of summaries to peers that include a dead
 	// target. maxReportedDead limits the dead targets in one summary.
 	deadReportCount = 6
@@ -82,9 +85,8 @@
 	lastOutcome Outcome
 	lastBegan   clock.Milli
 	lastDone    clock.Milli
-	// silentBegan is when the last probe without an answer began, silentCount the
-	// number of such probes since the last answer.
-	silentBegan clock.Milli
+	// silentCount is the number of probes without an answer since the last answer
+	// that this daemon's own connection does not explain.
 	silentCount int
 	// askAt is when a target that is absent and accepted a probe is asked again,
 	// askInterval the time until then.
@@ -122,7 +124,7 @@
 
 // forget ends what earlier probes and unanswered packets showed.
 func (p *probeState) forget() {
-	p.dead, p.confirmed, p.firstMiss, p.silentBegan, p.silentCount = false, false, 0, 0, 0
+	p.dead, p.confirmed, p.firstMiss, p.silentCount = false, false, 0, 0
 }
 
 // Probes returns the probes to start now. Each must be completed by ProbeDone.
@@ -133,7 +135,7 @@
 	var list []Probe
 	c.probeQueue = slices.DeleteFunc(c.probeQueue, func(t *Target) bool {
 		p := &t.probe
-		c.checkSilentProbe(now, t)
+		c.checkSilence(now, t)
 		if t.replaced || t.answers.lastAnswerAnywhere() >= p.firstMiss || !p.dead && now-p.firstMiss > probeReasonTTL {
 			p.queued = false
 			p.forget()
@@ -173,21 +175,28 @@
 	case !p.queued:
 	case o == Refused:
 		c.markDead(now, t)
-	case now-r.Began <= maxProbeTime:
-		p.silentBegan = r.Began
+	case c.isSilence(now, r):
 		p.silentCount++
-		c.checkSilentProbe(now, t)
+		if p.silentCount < silentProbes {
+			p.lastBegan -= probeInterval // the next one follows at once
+		}
+		c.checkSilence(now, t)
 	}
 	return p.dead != was
 }
 
-// checkSilentProbe marks a target as dead if a probe had no answer, a client
-// retransmitted a packet too or the target's entry is gone for long, and a packet that
-// this daemon forwarded after the probe began was answered, so that the fault is not
-// this daemon's own connection.
-func (c *Core) checkSilentProbe(now clock.Milli, t *Target) {
+// isSilence reports whether a probe that had no answer counts: a packet that this
+// daemon forwarded after the probe began had its answer before it ended. Later answers
+// show nothing: all packets may have waited at this daemon's own link.
+func (c *Core) isSilence(now clock.Milli, r Probe) bool {
+	return now-r.Began <= maxProbeTime && c.latestAnsweredSend >= r.Began
+}
+
+// checkSilence marks a target as dead if probes had no answer, and a client
+// retransmitted a packet too or the target's entry is gone for long.
+func (c *Core) checkSilence(now clock.Milli, t *Target) {
 	p := &t.probe
-	if p.silentBegan == 0 || p.dead || c.latestAnsweredSend < p.silentBegan || t.answers.lastAnswerAnywhere() >= p.firstMiss {
+	if p.dead || p.silentCount < silentProbes || t.answers.lastAnswerAnywhere() >= p.firstMiss {
 		return
 	}
 	if p.confirmed || c.silenceCounts(now, t) {
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -105,12 +106,17 @@
 		}
 		probes := h.core.Probes(h.now)
 		require.Len(t, probes, 1, c.name)
-		if c.othersAnswer {
-			healthy.roundTrip()
+		for range silentProbes {
+			for _, p := range probes {
+				if c.othersAnswer {
+					healthy.roundTrip()
+				}
+				h.advance(c.took)
+				h.core.ProbeDone(h.now, p, c.outcome)
+			}
+			h.advance(50)
+			probes = h.core.Probes(h.now)
 		}
-		h.advance(c.took)
-		h.core.ProbeDone(h.now, probes[0], c.outcome)
-		h.advance(50)
 		resets := 0
 		for _, e := range h.core.Resets() {
 			if e.Tuple == idle.tuple {
@@ -160,6 +166,61 @@
 	require.Empty(t, h.core.Resets())
 }
 
+// TestSlowLinkOfThisDaemonIsNotSilence guards against open flows that are reset because
+// this daemon's own link was full for longer than a probe waits, while it sent a new
+// configuration to peers: the packets that it forwarded meanwhile had their answers, but
+// only after the probe had ended (FLOW, incident 41).
+func TestSlowLinkOfThisDaemonIsNotSilence(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	idle := h.openOn(nonIdempotentAddress, "i-000001")
+	pending := h.openOn(idempotentAddress, "i-000001")
+	healthy := h.openOn(idempotentAddress, "i-000002")
+	h.advance(clock.Second)
+	pending.request()
+	healthy.roundTrip()
+	h.advance(200)
+	pending.retransmit()
+	h.advance(25)
+	for range 3 {
+		list := h.core.Probes(h.now)
+		healthy.request()
+		h.advance(160)
+		for _, p := range list {
+			h.core.ProbeDone(h.now, p, Silent)
+		}
+		h.advance(25)
+		healthy.ackAnswer()
+		h.advance(25)
+	}
+	for _, e := range h.core.Resets() {
+		require.NotEqual(t, idle.tuple, e.Tuple)
+	}
+	require.Equal(t, Deliver, idle.request().Action)
+}
+
+// TestOneSilentProbeIsNotEnough guards against open flows that are reset because the
+// packets of a single probe were lost (FLOW, incident 41).
+func TestOneSilentProbeIsNotEnough(t *testing.T) {
+	for _, second := range []Outcome{Silent, Accepted} {
+		h := newHarness(t, target(1, "a"), target(2, "a"))
+		idle := h.openOn(nonIdempotentAddress, "i-000001")
+		pending := h.openOn(idempotentAddress, "i-000001")
+		healthy := h.openOn(idempotentAddress, "i-000002")
+		h.advance(clock.Second)
+		pending.request()
+		healthy.roundTrip()
+		h.advance(200)
+		pending.retransmit()
+		h.advance(25)
+		healthy.roundTrip()
+		require.Len(t, h.runProbes(Silent, 160), 1)
+		require.Empty(t, h.core.Resets())
+		healthy.roundTrip()
+		require.Len(t, h.runProbes(second, 160), 1, "the second follows at once")
+		require.Equal(t, second == Silent, slices.Contains(tuplesOf(h.core.Resets()), idle.tuple), second)
+	}
+}
+
 // A target answers a peer while a probe is under way that is then refused.
 func TestAnswerDuringProbeKeepsFlows(t *testing.T) {
 	h := newHarness(t, target(1, "a"), target(2, "a"))
@@ -201,8 +262,10 @@
 	h.advance(clock.Second)
 	h.core.ApplyDeadTargets(h.now+2*clock.Second, []fleet.DeadTarget{{Code: idle.target.Code, Age: 40}})
 	h.advance(2 * clock.Second)
-	healthy.roundTrip()
-	h.runProbes(Silent, 160)
+	for range silentProbes {
+		healthy.roundTrip()
+		h.runProbes(Silent, 160)
+	}
 	require.Equal(t, 1, h.resetsByTarget()["i-000001"])
 }
 
