internal/coordination/steer: a probe that ends in a stall of this process proves nothing

Found by reading that path; no user report shows it. Cause: a stall is noticed by the next tick. A probe's end that is handled first counted, and did so for good: it was judged again in each later tick, past the grace after the stall. Change: a process that has not ticked for the threshold counts as stalled at once, and what a probe shows during a stall or just after it isn't counted. Red before: TestProbeThatEndsInAStallProvesNothing resets both flows.

--- a/internal/coordination/steer/evaluate.go
+++ b/internal/coordination/steer/evaluate.go
@@ -112,10 +112,12 @@
 	}
 }
 
-// justStalled reports whether this process stalled recently. Then answers may wait
-// behind packets that it has not read yet, and clients may have retransmitted
-// because of the stall.
-func (c *Core) justStalled(now clock.Milli) bool { return now-c.lastStall <= stallGrace }
+// justStalled reports whether this process stalled recently, or has just resumed and
+// not ticked yet. Then answers may wait behind packets that it has not read yet, and
+// clients may have retransmitted because of the stall.
+func (c *Core) justStalled(now clock.Milli) bool {
+	return now-c.lastStall <= stallGrace || c.lastTick != clock.Never && now-c.lastTick > stallThreshold
+}
 
 // addSuspect adds a target to the suspects, which left packets unanswered.
 func (c *Core) addSuspect(t *Target) {
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -186,10 +186,11 @@
 }
 
 // isSilence reports whether a probe that had no answer counts: a packet that this
-// daemon forwarded after the probe began had its answer before it ended. Later answers
-// show nothing: all packets may have waited at this daemon's own link.
+// daemon forwarded after the probe began had its answer before it ended, and this
+// process ran all the while. Later answers show nothing: all packets may have waited
+// at this daemon's own link.
 func (c *Core) isSilence(now clock.Milli, r Probe) bool {
-	return now-r.Began <= maxProbeTime && c.latestAnsweredSend >= r.Began
+	return now-r.Began <= maxProbeTime && c.latestAnsweredSend >= r.Began && !c.justStalled(now)
 }
 
 // checkSilence marks a target as dead if probes had no answer, and a client
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -289,3 +289,32 @@
 	require.Empty(t, h.core.probeQueue)
 	require.Zero(t, h.core.activeProbes)
 }
+
+// TestProbeThatEndsInAStallProvesNothing guards against open flows that are reset because
+// this process did not run for the time of a probe, and the probe's end is handled before
+// the tick that notices the stall (FLOW, incident 41).
+func TestProbeThatEndsInAStallProvesNothing(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	idle := h.openOn(nonIdempotentAddress, "i-000001")
+	pending := h.openOn(idempotentAddress, "i-000001")
+	healthy := h.openOn(idempotentAddress, "i-000002")
+	h.advance(clock.Second)
+	pending.request()
+	healthy.roundTrip()
+	h.advance(200)
+	pending.retransmit()
+	h.advance(25)
+	for range silentProbes {
+		list := h.core.Probes(h.now)
+		require.Len(t, list, 1)
+		healthy.request()
+		h.now += 160
+		healthy.ackAnswer()
+		h.core.ProbeDone(h.now, list[0], Silent)
+		h.advance(probeInterval)
+	}
+	h.advance(100)
+	h.core.Probes(h.now)
+	h.advance(25)
+	require.NotContains(t, tuplesOf(h.core.Resets()), idle.tuple)
+}
