steer, reach: a silent probe has a control beside it

Cause: a daemon's own connection was shown to work by answers that happen to arrive while a probe waits. And a local error, no file descriptor left, counted as the target's silence. Change: beside a probe that has no answer for 50 ms the daemon connects to the target that last answered it. If that one answers before the probe ends, silence is the target's; one that answers at once costs no second connection. A local error is an outcome of its own. Why it works: the control's packet leaves by the same link after the probe's first ones. Red before: TestSilentTargetIsFoundBesideSlowAnswers/slow, TestLocalErrorIsNotSilence. TestControlTellsWhetherTheLinkWorks runs real connections.

--- a/internal/coordination/steer/answers.go
+++ b/internal/coordination/steer/answers.go
@@ -210,6 +210,7 @@
 // recordAnswer records that a target answered a flow.
 func (c *Core) recordAnswer(now clock.Milli, t *Target) {
 	t.answers.recordAnswer(now)
+	c.recordAnswering(t)
 	c.recordAnswerAnywhere(t, now)
 	if t.DataCentre == c.localDC {
 		c.lastLocalAnswer = now
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -46,10 +46,12 @@
 	Refused
 	// Silent means that several attempts had no answer.
 	Silent
+	// Failed means that no attempt was possible.
+	Failed
 	Outcomes // number of outcomes
 )
 
-var outcomeNames = [Outcomes]string{"accepted", "refused", "silent"}
+var outcomeNames = [Outcomes]string{"accepted", "refused", "silent", "failed"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -60,6 +62,12 @@
 	ID      schema.TargetID
 	Address netip.AddrPort
 	Began   clock.Milli
+	// Control is the address of another target, which has just answered. It is to be
+	// tried beside this one; invalid if there is none. Linked is set by the prober if it
+	// answered in the time in which this one did not, so that the fault is not this
+	// daemon's own connection.
+	Control netip.AddrPort
+	Linked  bool
 }
 
 // probeState is the state of probing a target after a packet had no answer in
@@ -146,15 +154,38 @@
 			return true
 		}
 		if !p.active && now-p.lastBegan >= probeInterval && c.activeProbes < MaxProbes {
-			c.activeProbes++
-			p.active, p.lastBegan = true, now
-			list = append(list, Probe{Code: t.Code, ID: t.ID, Address: t.Address, Began: now})
+			list = append(list, c.startProbe(now, t))
 		}
 		return false
 	})
 	return list
 }
 
+// startProbe starts a probe of a target.
+func (c *Core) startProbe(now clock.Milli, t *Target) Probe {
+	c.activeProbes++
+	t.probe.active, t.probe.lastBegan = true, now
+	return Probe{Code: t.Code, ID: t.ID, Address: t.Address, Began: now, Control: c.control(now, t)}
+}
+
+// control returns the address of the target that last answered this daemon, other than
+// the one that is probed; invalid if there is none.
+func (c *Core) control(now clock.Milli, t *Target) netip.AddrPort {
+	for _, x := range c.answering {
+		if x != nil && x != t && !x.gone && !x.provedDead() && now-x.answers.lastAnswer <= missTTL {
+			return x.Address
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// recordAnswering keeps the last two targets that answered.
+func (c *Core) recordAnswering(t *Target) {
+	if c.answering[0] != t {
+		c.answering[0], c.answering[1] = t, c.answering[0]
+	}
+}
+
 // ProbeDone takes the outcome of a probe and reports whether it changed whether the
 // target counts as dead.
 func (c *Core) ProbeDone(now clock.Milli, r Probe, o Outcome) bool {
@@ -185,12 +216,12 @@
 	return p.dead != was
 }
 
-// isSilence reports whether a probe that had no answer counts: a packet that this
-// daemon forwarded after the probe began had its answer before it ended, and this
-// process ran all the while. Later answers show nothing: all packets may have waited
-// at this daemon's own link.
+// isSilence reports whether a probe that had no answer counts: another target, or a
+// packet that this daemon forwarded after the probe began, was answered before it
+// ended, and this process ran all the while. Later answers show nothing: all packets
+// may have waited at this daemon's own link.
 func (c *Core) isSilence(now clock.Milli, r Probe) bool {
-	return now-r.Began <= maxProbeTime && c.latestAnsweredSend >= r.Began && !c.justStalled(now)
+	return now-r.Began <= maxProbeTime && (r.Linked || c.latestAnsweredSend >= r.Began) && !c.justStalled(now)
 }
 
 // checkSilence marks a target as dead if probes had no answer, and a client
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -237,6 +237,8 @@
 	probeQueue   []*Target
 	activeProbes int
 	deadReports  []*Target
+	// answering are the targets that last answered this daemon, the latest first.
+	answering [2]*Target
 	// unresponsiveDCs holds the data centres whose targets answer nobody,
 	// silentTargets the number of their targets that showed it, lastAnswerDCs when a
 	// target of each last answered anyone.
--- a/internal/entry/flowsim_test.go
+++ b/internal/entry/flowsim_test.go
@@ -409,6 +409,7 @@
 		}
 		p.daemon.mu.Lock()
 		defer p.daemon.mu.Unlock()
+		p.probe.Linked = f.outcome(p.probe.Control) == steer.Accepted
 		p.daemon.core.ProbeDone(f.now, p.probe, f.outcome(p.probe.Address))
 		return true
 	})
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -16,13 +16,15 @@
 // outcomes to it.
 func (d *Daemon) runProbes(ctx context.Context) error {
 	return duty.Consume(ctx, d.probeQueue, func(p steer.Probe) {
-		o := outcomeOf(reach.Check(ctx, p.Address))
+		reached, linked := reach.CheckBeside(ctx, p.Address, p.Control)
+		o := outcomeOf(reached)
+		p.Linked = linked
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		now := d.clock.Now()
 		d.metrics.probes[o].Inc()
 		if d.core.ProbeDone(now, p, o) {
-			d.log.sampledf("probe: target=%s address=%s outcome=%s took=%dms dead=%t", p.ID, p.Address, o, now-p.Began, o != steer.Accepted)
+			d.log.sampledf("probe: target=%s address=%s outcome=%s linked=%t took=%dms dead=%t", p.ID, p.Address, o, p.Linked, now-p.Began, o != steer.Accepted)
 		}
 	})
 }
@@ -34,6 +36,8 @@
 		return steer.Accepted
 	case reach.Refused:
 		return steer.Refused
+	case reach.Failed:
+		return steer.Failed
 	default:
 		return steer.Silent
 	}
--- a/internal/transport/reach/reach.go
+++ b/internal/transport/reach/reach.go
@@ -18,8 +18,10 @@
 	Open Outcome = iota
 	// Refused means that the peer refused the connection: nothing listens.
 	Refused
-	// Silent means that no attempt got an answer, or a local error occurred.
+	// Silent means that no attempt got an answer in time.
 	Silent
+	// Failed means that a local error prevented an attempt, so that nothing is known.
+	Failed
 )
 
 // Several attempts overlap, since a single packet may be lost.
@@ -29,8 +31,34 @@
 	timeout         = 160 * time.Millisecond // of all attempts together
 )
 
-// Check connects to an address over TCP and returns the first outcome that is not
-// Silent, within 160 ms. It cancels the other attempts then.
+// CheckBeside checks an address as Check does. If it is silent, linked reports whether
+// the control address answered within the same time to an attempt that began after the
+// first one to the address, so that this host's own connection works. An invalid control
+// address is not tried, nor is one that is not needed.
+func CheckBeside(ctx context.Context, to, control netip.AddrPort) (o Outcome, linked bool) {
+	if !control.IsValid() {
+		return Check(ctx, to), false
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answers := make(chan bool, 1)
+	go func() {
+		c := attempt(ctx, control, attemptInterval)
+		answers <- c == Open || c == Refused
+	}()
+	if o = Check(ctx, to); o != Silent {
+		return o, false
+	}
+	select {
+	case linked = <-answers:
+	default: // as late as the answer that is missing
+	}
+	return o, linked
+}
+
+// Check connects to an address over TCP and returns the first answer, within 160 ms. It
+// cancels the other attempts then. Without an answer it returns Failed if any attempt
+// did, else Silent.
 func Check(ctx context.Context, to netip.AddrPort) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -40,8 +68,12 @@
 	}
 	outcome := Silent
 	for range attempts {
-		if o := <-outcomes; o != Silent && outcome == Silent {
-			outcome = o
+		o := <-outcomes
+		if o == Silent || outcome == Open || outcome == Refused {
+			continue
+		}
+		outcome = o
+		if o != Failed {
 			cancel()
 		}
 	}
@@ -65,7 +97,24 @@
 		return Open
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
-	default:
+	case isUnanswered(err):
 		return Silent
+	default:
+		return Failed
+	}
+}
+
+// isUnanswered reports whether the error of an attempt means that the peer did not
+// answer, or that the network says that it can't be reached.
+func isUnanswered(err error) bool {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	for _, e := range []syscall.Errno{syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET, syscall.ETIMEDOUT} {
+		if errors.Is(err, e) {
+			return true
+		}
 	}
+	return false
 }
