internal/coordination/steer: a probe counts for the target that it was made to

Callers would see: flows of a living target reset because the probe of another one with the same code was refused. Cause: ProbeDone took the first target of the code. Change: the target is found by code and ID. Red before: TestProbeOfCollidingTargetIsItsOwn.

--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -190,7 +190,7 @@
 // target counts as dead.
 func (c *Core) ProbeDone(now clock.Milli, r Probe, o Outcome) bool {
 	c.activeProbes--
-	t := c.byCode[r.Code]
+	t := c.probed(r)
 	if t == nil {
 		return false
 	}
@@ -216,6 +216,19 @@
 	return p.dead != was
 }
 
+// probed returns the target that a probe was made to, nil if it is forgotten.
+func (c *Core) probed(r Probe) *Target {
+	if t := c.byCode[r.Code]; t == nil || t.ID == r.ID {
+		return t
+	}
+	for _, t := range c.colliding[r.Code] {
+		if t.ID == r.ID {
+			return t
+		}
+	}
+	return nil
+}
+
 // isSilence reports whether a probe that had no answer counts: another target, or a
 // packet that this daemon forwarded after the probe began, was answered before it
 // ended, and this process ran all the while. Later answers show nothing: all packets
--- a/internal/coordination/steer/silence_test.go
+++ b/internal/coordination/steer/silence_test.go
@@ -84,3 +84,25 @@
 	}
 	require.NotContains(t, tuplesOf(h.core.Resets()), idle.tuple)
 }
+
+// TestProbeOfCollidingTargetIsItsOwn guards against open flows that are reset because the
+// probe of another target with the same code was refused.
+func TestProbeOfCollidingTargetIsItsOwn(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	first := h.core.byCode[target1Code()]
+	idle := h.openOn(nonIdempotentAddress, "i-000001")
+	other := &Target{Code: first.Code, limiter: first.limiter}
+	other.Target = target(3, "a")
+	h.core.colliding[first.Code] = []*Target{first, other}
+	h.advance(clock.Second)
+	h.core.requestProbe(first, h.now, true)
+	h.core.requestProbe(other, h.now, true)
+	list := h.core.Probes(h.now)
+	require.Len(t, list, 2)
+	h.core.ProbeDone(h.now, list[1], Refused) // of other
+	h.advance(25)
+	h.core.ProbeDone(h.now, list[0], Accepted)
+	h.advance(100)
+	require.NotContains(t, tuplesOf(h.core.Resets()), idle.tuple)
+	require.False(t, first.probe.active || other.probe.active)
+}
