internal/coordination/steer: dead targets don't take the probes of others

Callers saw: idle flows that wait for their time limit at targets that left, crashed or lost power, while many others are dead. Cause: a target that is proved dead stays in the queue and is probed again each 500 ms; 24 silent ones fill all eight probes for good, in the order in which they came. Since absence is no proof, targets without entries depend on probes as well. Change: proved targets and others have eight probes each; who has waited the longest is next; the reason for probes doesn't expire while a target waits for its first or second.

--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -18,8 +19,10 @@
 	// maxProbeTime is the longest time that a probe without an answer may have
 	// taken. One that took longer was delayed in this process and proves nothing.
 	maxProbeTime = 250 * clock.Milli(1)
-	// probeReasonTTL is how long an unanswered packet is a reason for probes.
-	probeReasonTTL = 3 * clock.Second
+	// probeReasonTTL is how long an unanswered packet is a reason for probes,
+	// maxProbeReasonTTL that of a target that waits for its probe.
+	probeReasonTTL    = 3 * clock.Second
+	maxProbeReasonTTL = 2 * probeReasonTTL
 	// silentProbes is the number of probes that must have no answer: the packets of
 	// one may be lost.
 	silentProbes = 2
@@ -31,8 +34,13 @@
 	deadReportTTL = 1500 * clock.Milli(1)
 )
 
-// MaxProbes is the maximum number of concurrent probes.
-const MaxProbes = 8
+const (
+	// maxKindProbes is the maximum number of concurrent probes of targets that are
+	// proved dead, and of others. Neither delays the other.
+	maxKindProbes = 8
+	// MaxProbes is the maximum number of concurrent probes.
+	MaxProbes = 2 * maxKindProbes
+)
 
 // Outcome is the result of a probe, a connection attempt to a target's address.
 type Outcome uint8
@@ -68,6 +76,8 @@
 	// daemon's own connection.
 	Control netip.AddrPort
 	Linked  bool
+	// again is set if the target was proved dead when the probe began.
+	again bool
 }
 
 // probeState is the state of probing a target after a packet had no answer in
@@ -140,11 +150,11 @@
 	if len(c.probeQueue) == 0 {
 		return nil
 	}
-	var list []Probe
+	var due []*Target
 	c.probeQueue = slices.DeleteFunc(c.probeQueue, func(t *Target) bool {
 		p := &t.probe
 		c.checkSilence(now, t)
-		if t.replaced || t.answers.lastAnswerAnywhere() >= p.firstMiss || !p.dead && now-p.firstMiss > probeReasonTTL {
+		if t.replaced || t.answers.lastAnswerAnywhere() >= p.firstMiss || !p.dead && p.expired(now) {
 			p.queued = false
 			p.forget()
 			return true
@@ -153,19 +163,46 @@
 			p.queued = false // known for good
 			return true
 		}
-		if !p.active && now-p.lastBegan >= probeInterval && c.activeProbes < MaxProbes {
-			list = append(list, c.startProbe(now, t))
+		if !p.active && now-p.lastBegan >= probeInterval {
+			due = append(due, t)
 		}
 		return false
 	})
+	return c.startProbes(now, due)
+}
+
+// expired reports whether the reason for probes is too old. It lasts longer for a target
+// that was not probed yet, or once without an answer: others may take all probes.
+func (p *probeState) expired(now clock.Milli) bool {
+	age := now - p.firstMiss
+	waits := p.lastBegan < p.firstMiss || p.silentCount > 0 && p.silentCount < silentProbes
+	return age > maxProbeReasonTTL || age > probeReasonTTL && !waits
+}
+
+// startProbes starts the probes of the targets that have waited the longest.
+func (c *Core) startProbes(now clock.Milli, due []*Target) []Probe {
+	slices.SortStableFunc(due, func(x, y *Target) int { return cmp.Compare(x.probe.lastBegan, y.probe.lastBegan) })
+	var list []Probe
+	for _, t := range due {
+		p := &t.probe
+		active := c.activeOf(p.dead)
+		if *active >= maxKindProbes {
+			continue
+		}
+		*active++
+		p.active, p.lastBegan = true, now
+		list = append(list, Probe{Code: t.Code, ID: t.ID, Address: t.Address, Began: now, Control: c.control(now, t), again: p.dead})
+	}
 	return list
 }
 
-// startProbe starts a probe of a target.
-func (c *Core) startProbe(now clock.Milli, t *Target) Probe {
-	c.activeProbes++
-	t.probe.active, t.probe.lastBegan = true, now
-	return Probe{Code: t.Code, ID: t.ID, Address: t.Address, Began: now, Control: c.control(now, t)}
+// activeOf returns the count of active probes of targets that are proved dead, or of
+// others.
+func (c *Core) activeOf(dead bool) *int {
+	if dead {
+		return &c.activeReprobes
+	}
+	return &c.activeProbes
 }
 
 // control returns the address of the target that last answered this daemon, other than
@@ -189,7 +226,7 @@
 // ProbeDone takes the outcome of a probe and reports whether it changed whether the
 // target counts as dead.
 func (c *Core) ProbeDone(now clock.Milli, r Probe, o Outcome) bool {
-	c.activeProbes--
+	*c.activeOf(r.again)--
 	t := c.probed(r)
 	if t == nil {
 		return false
--- a/internal/coordination/steer/silence_test.go
+++ b/internal/coordination/steer/silence_test.go
@@ -1,11 +1,16 @@
 package steer
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"coltsfootdock/internal/clock"
+	"coltsfootdock/internal/state/fleet"
+	"coltsfootdock/pkg/schema"
 )
 
 // TestSilentTargetIsFoundBesideSlowAnswers guards against idle flows that wait for their
@@ -106,3 +111,98 @@
 	require.NotContains(t, tuplesOf(h.core.Resets()), idle.tuple)
 	require.False(t, first.probe.active || other.probe.active)
 }
+
+// TestManySilentTargetsAreAllFound guards against idle flows that wait for their time
+// limit because the targets that are known to be dead take all probes.
+func TestManySilentTargetsAreAllFound(t *testing.T) {
+	for _, n := range []int{8, 24, 40, 64} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			var list []fleet.Target
+			for i := range n + 1 {
+				list = append(list, target(i+1, "a"))
+			}
+			h := newHarness(t, list...)
+			healthy := h.openOn(idempotentAddress, list[n].ID)
+			var pending []*client
+			idle := make(map[schema.TargetID]bool)
+			for _, x := range list[:n] {
+				h.openOn(nonIdempotentAddress, x.ID)
+				pending = append(pending, h.openOn(idempotentAddress, x.ID))
+				idle[x.ID] = true
+			}
+			h.advance(clock.Second)
+			for _, c := range pending {
+				c.request()
+			}
+			var probes []absentProbe
+			for began := h.now; h.now < began+6*clock.Second; {
+				healthy.roundTrip()
+				if at := h.now - began; at == 200 || at == 600 || at == 1400 || at == 3000 || at == 4600 {
+					for _, c := range pending {
+						c.retransmit()
+					}
+				}
+				for _, p := range h.core.Probes(h.now) {
+					probes = append(probes, absentProbe{Probe: p, done: h.now + 160})
+				}
+				for len(probes) > 0 && probes[0].done <= h.now {
+					h.core.ProbeDone(h.now, probes[0].Probe, Silent)
+					probes = probes[1:]
+				}
+				h.advance(25)
+				for _, e := range h.core.Resets() {
+					delete(idle, e.Target.ID)
+				}
+			}
+			require.Empty(t, idle)
+		})
+	}
+}
+
+// TestAbsentTargetsAreFoundBesideDeadOnes guards against flows of targets whose entries
+// are gone that wait for their time limit because targets that are known to be dead, but
+// have entries, take all probes.
+func TestAbsentTargetsAreFoundBesideDeadOnes(t *testing.T) {
+	for _, present := range []int{0, 24} {
+		t.Run(fmt.Sprint(present), func(t *testing.T) {
+			const absent = 8
+			n := present + absent
+			var list []fleet.Target
+			for i := range n + 1 {
+				list = append(list, target(i+1, "a"))
+			}
+			h := newHarness(t, list...)
+			healthy := h.openOn(idempotentAddress, list[n].ID)
+			left := make(map[schema.TargetID]bool)
+			for i, x := range list[:n] {
+				h.openOn(nonIdempotentAddress, x.ID)
+				left[x.ID] = i >= present
+			}
+			h.advance(clock.Second)
+			for _, x := range list[:present] {
+				h.core.requestProbe(h.core.byID[x.ID], h.now, true)
+			}
+			var probes []absentProbe
+			for began := h.now; h.now < began+10*clock.Second; {
+				healthy.roundTrip()
+				for _, p := range h.core.Probes(h.now) {
+					probes = append(probes, absentProbe{Probe: p, done: h.now + 160})
+				}
+				for len(probes) > 0 && probes[0].done <= h.now {
+					h.core.ProbeDone(h.now, probes[0].Probe, Silent)
+					probes = probes[1:]
+				}
+				h.advance(25)
+				if h.now-began == 2*clock.Second {
+					for _, x := range list[present:n] {
+						h.removeTarget(x.ID)
+					}
+				}
+				for _, e := range h.core.Resets() {
+					delete(left, e.Target.ID)
+				}
+			}
+			require.NotContains(t, slices.Collect(maps.Values(left)), true, "7.5 s after the end of the grace")
+		})
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -232,11 +232,13 @@
 	foundLost bool
 	// suspects are the targets that left packets unanswered.
 	suspects []*Target
-	// probeQueue holds the targets to probe, activeProbes counts the probes under
-	// way. deadReports holds the dead targets that are still to be reported.
-	probeQueue   []*Target
-	activeProbes int
-	deadReports  []*Target
+	// probeQueue holds the targets to probe. activeReprobes counts the probes under
+	// way of targets that are proved dead, activeProbes the others. deadReports holds
+	// the dead targets that are still to be reported.
+	probeQueue     []*Target
+	activeProbes   int
+	activeReprobes int
+	deadReports    []*Target
 	// answering are the targets that last answered this daemon, the latest first.
 	answering [2]*Target
 	// unresponsiveDCs holds the data centres whose targets answer nobody,
