internal/entry: large pulls are compressed

Cause: a daemon sends 1,645 routes to each peer that pulls them over the link of its flows. Change: responses of 4 KB and more are compressed, by the standard library, at its fastest level; the client's transport decompresses them, a peer that doesn't ask for it gets the plain form.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,6 +236,31 @@
 	require.Equal(t, http.StatusOK, w.Code)
 }
 
+// TestLargePullsLeaveTheLinkToFlows guards against packets of flows, and probes, that wait
+// at a daemon's link while it sends a large configuration to its peers (FLOW, incident 41).
+func TestLargePullsLeaveTheLinkToFlows(t *testing.T) {
+	f := newFixture(t)
+	table := &fleet.Table{Version: 7, Rev: 9}
+	for i := range 1500 {
+		table.Routes = append(table.Routes, fleet.Route{
+			Name: schema.Name(fmt.Sprintf("r-%07x", i*2654435761%(1<<28))), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Class: fleet.Idempotent, LatencyGoal: 100, Timeout: clock.Second, Pools: []fleet.Share{{Pool: "desk", Weight: 1}},
+		})
+	}
+	f.daemon.core.Apply(f.daemon.clock.Now(), &fleet.Update{Topic: fleet.Config, Full: true, Rev: 9, Table: table})
+	size := func(encoding string) int {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, pullPath+"?targets=0&config=0&outs=0", nil)
+		r.Header.Set("Accept-Encoding", encoding)
+		f.daemon.pullHandler().ServeHTTP(w, r)
+		return w.Body.Len()
+	}
+	require.Less(t, 3*size("gzip"), size("identity"))
+	f.servePulls()
+	g := f.secondDaemon(t)
+	require.NoError(t, g.daemon.pullFrom(t.Context(), &http.Client{Timeout: pullTimeout}, f.daemon.cfg.Peer))
+	require.Equal(t, table, g.daemon.core.Replica().Table())
+}
+
 // Invalid settings are rejected as a whole, and settings that can't change while
 // the daemon runs keep their values.
 func TestReload(t *testing.T) {
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"coltsfootdock/internal/clock"
@@ -30,6 +32,9 @@
 	removedKey   = "gone"
 	fullKey      = "whole"
 	maxPullBytes = 8 << 20
+	// minCompressedBytes is the size from which responses are compressed: those below
+	// fit a few packets.
+	minCompressedBytes = 4 << 10
 	// maxConcurrentPulls is the maximum number of pulls served at the same time,
 	// since responses share the VM's link with the packets of flows. Rejected
 	// peers retry, here or at another peer.
@@ -184,11 +189,24 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		_, _ = w.Write(body) // a peer that disconnected pulls again
+		respond(w, r, body)
 	})
 	return mux
 }
 
+// respond writes the response to a pull, compressed if it is large: it shares the VM's
+// link with the packets of flows. The client's transport decompresses it.
+func respond(w http.ResponseWriter, r *http.Request, body []byte) {
+	if len(body) < minCompressedBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(body) // a peer that disconnected pulls again
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, _ := gzip.NewWriterLevel(w, gzip.BestSpeed) // fails only for unknown levels
+	_, _ = z.Write(body)
+	_ = z.Close()
+}
+
 // updatesSince returns the updates of the topics that a requester at the given
 // revisions is behind on. If removed is set, the targets include the removed
 // ones. If the changes since a revision are no longer known, the topic is sent
