soak: writes of targets fail while reads work; a reset at a target that serves is a violation

The soak couldn't show it: its store failed for reads and writes alike, its clients kept hardly any idle flows open, and checkReset allowed a reset for 4 s after any fault of any daemon, which in a soak is nearly always.

The stand-in store now refuses, loses, delays (1 to 6 s, if the condition still holds) or doesn't answer a share of the writes while reads work; single targets, ready or draining, are cut off from the store alone; targets are killed, drained in series, daemons released in turn. Clients keep flows open with pauses of up to 6 s until the target has gone. A target stays for its time from the ack of its draining entry on, and DRAIN counts from that ack, as on the users' platform. checkReset allows a reset only if the target itself is or was just disturbed, has lost the flow, or packets to the daemon that sent the reset are lost.

--- a/cmd/standin/cmd/soak.go
+++ b/cmd/standin/cmd/soak.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -27,8 +29,10 @@
 	fs.IntVar(&opts.Daemons, "daemons", 6, "number of daemons")
 	fs.IntVar(&opts.Targets, "targets", 12, "number of targets")
 	fs.IntVar(&opts.Clients, "clients", 24, "number of client hosts")
+	fs.IntVar(&opts.KeptFlows, "kept", 4, "number of flows that each client keeps open until their targets have gone")
 	fs.IntVar(&opts.Slot, "slot", 0, "number from 0 to 40 that selects the address range; concurrent soaks need different ones")
 	fs.IntVar(&opts.Reading, "reading", -1, "index of the reading of the store's protocol; negative if the seed selects it")
+	seeds := fs.String("seeds", "", "first and last seed, such as 100-149: play them in series, print a line each and the sum")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "soak",
@@ -46,6 +50,9 @@
 				}
 				opts.Dir = dir
 			}
+			if *seeds != "" {
+				return playSeries(ctx, out, opts, *seeds)
+			}
 			r, err := soak.Run(ctx, opts)
 			if err != nil {
 				return err
@@ -64,3 +71,37 @@
 		},
 	}
 }
+
+// playSeries runs a soak test for each seed of a range, one after the other, and
+// prints a line for each and the sum. The logs of sound runs are removed.
+func playSeries(ctx context.Context, out io.Writer, opts soak.Options, seeds string) error {
+	var first, last uint64
+	if _, err := fmt.Sscanf(seeds, "%d-%d", &first, &last); err != nil || last < first {
+		return fmt.Errorf("--seeds %q: want two numbers as in 100-149", seeds)
+	}
+	dir, plays, broken := opts.Dir, 0, 0
+	for opts.Seed = first; opts.Seed <= last; opts.Seed++ {
+		opts.Dir = filepath.Join(dir, fmt.Sprint(opts.Seed))
+		if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
+			return err
+		}
+		r, err := soak.Run(ctx, opts)
+		if err != nil {
+			return err
+		}
+		plays++
+		r.PrintLine(out)
+		if len(r.Broken) > 0 {
+			broken++
+			continue
+		}
+		if err := os.RemoveAll(opts.Dir); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "%d seeds, %d with violated guarantees; their logs: %s\n", plays, broken, dir)
+	if broken > 0 {
+		return errFailed
+	}
+	return nil
+}
--- a/internal/standin/plat/plat.go
+++ b/internal/standin/plat/plat.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -95,9 +96,13 @@
 	// hushed is set while watches hear nothing.
 	hushed bool
 	fault  Fault
-	reads  *rate.Limiter
-	writes *rate.Limiter
-	calls  Calls
+	// writeFault meets writeShare of the writes, which chance selects.
+	writeFault WriteFault
+	writeShare float64
+	chance     *rand.Rand
+	reads      *rate.Limiter
+	writes     *rate.Limiter
+	calls      Calls
 }
 
 // New returns an empty platform without faults.
@@ -110,6 +115,7 @@
 		lifetimes:    make(map[string]time.Duration),
 		stale:        make(map[key]stalePage),
 		past:         make(map[string][]pastList),
+		chance:       rand.New(rand.NewPCG(1, 1)),
 		revision:     FirstRevision,
 		historyStart: FirstRevision,
 	}
@@ -402,26 +408,6 @@
 	return o, true
 }
 
-// write makes one change under the lock and answers the request, unless the
-// LoseAnswers fault applies. The function f reports false on a conflict.
-func (p *Platform) write(w http.ResponseWriter, f func() (platform.Object, bool)) {
-	p.mu.Lock()
-	o, ok := f()
-	lost := ok && p.fault.LoseAnswers > 0
-	if lost {
-		p.fault.LoseAnswers--
-	}
-	p.mu.Unlock()
-	switch {
-	case lost:
-		panic(http.ErrAbortHandler) // closes the connection without an answer
-	case !ok:
-		writeJSON(w, http.StatusConflict, o)
-	default:
-		writeJSON(w, http.StatusOK, o)
-	}
-}
-
 // Put writes an object of any kind unconditionally, as the platform's own writers
 // do, and returns its revision.
 func (p *Platform) Put(kind, name string, spec any) schema.Version {
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -93,6 +93,7 @@
 	served   int
 	lost     int
 	rejected int
+	gone     waits
 	// Requests sent and served later than stableWindow after faultsEnded.
 	sentAfterFaults, servedAfterFaults int
 	faultsEnded                        time.Time
@@ -141,7 +142,7 @@
 			regressed = ended.version != 0 && d.hadEffect(ended.version, now)
 		}
 	}
-	drain, out := t.drainingSince(), t.dataCentre.outSince()
+	drain, out := t.drainAckedSince(), t.dataCentre.outSince()
 	lateDrain := c.late(d, drain, now, c.bound)
 	lateTable := c.late(d, ended.at, now, c.bound)
 	lateOut := c.late(d, out, now, outBound)
@@ -200,23 +201,51 @@
 	}
 }
 
-// checkReset checks a reset that the system, not the target, sent on an open
-// flow. Such a reset is allowed only without an accepting target that still holds
-// the flow, after the route's removal, or during and shortly after a fault of the
-// target or of a daemon.
+// checkReset checks a reset that a daemon, not the target, sent on an open flow. Such
+// a reset is allowed only without an accepting target that still holds the flow, after
+// the route's removal, and during and shortly after a fault of the target itself or a
+// loss of the packets to the daemon. No trouble of the store allows it.
 func (c *checker) checkReset(f *clientFlow, now time.Time) {
-	t := f.target
-	allowed := t == nil || f.route.isRemoved() || !t.faults.stableAt(now) || !t.hasFlow(f.tuple)
-	for _, d := range f.system.daemons {
-		// The client does not know which daemon sent the reset, so a fault at
-		// any of them allows it.
-		allowed = allowed || !d.faults.stableAt(now)
-	}
+	t, d := f.target, f.resetBy.Load()
+	allowed := t == nil || f.route.isRemoved() || !t.faults.stableAt(now) || !t.hasFlow(f.tuple) || d != nil && !d.cuts.stableAt(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checks++
-	if !allowed {
-		c.recordViolation("open flow", f.tuple.Source().String(), "flow %s:%d was reset although target %s still holds it", f.tuple.Source(), f.tuple.ServicePort, t.id)
+	if allowed {
+		return
+	}
+	by := "unknown"
+	if d != nil {
+		by = d.id
+	}
+	c.recordViolation("open flow", f.tuple.Source().String(), "flow %s:%d was reset by %s although target %s still holds it", f.tuple.Source(), f.tuple.ServicePort, by, t.id)
+}
+
+// waits are the times for which callers waited on flows of targets that had gone, until
+// a reset or their time limit ended the request.
+type waits struct {
+	times    []time.Duration
+	timeouts int
+}
+
+// recordGone records a failed request if its flow's target has gone. The caller waits
+// from the request's start, or from the target's end if that is later.
+func (c *checker) recordGone(f *clientFlow, started, now time.Time, timeout bool) {
+	if f.target == nil {
+		return
+	}
+	gone := f.target.goneSince()
+	if gone.IsZero() {
+		return
+	}
+	if gone.After(started) {
+		started = gone
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone.times = append(c.gone.times, now.Sub(started))
+	if timeout {
+		c.gone.timeouts++
 	}
 }
 
--- a/internal/standin/soak/client.go
+++ b/internal/standin/soak/client.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coltsfootdock/internal/state/flow"
@@ -35,6 +36,12 @@
 // its target is gone or the test ends.
 const lastingRequests = 10000
 
+// Bounds of the pauses between the requests of a flow that its client keeps open.
+const (
+	minPause = 500 * time.Millisecond
+	maxPause = 6 * time.Second
+)
+
 // client is a client host with several flows.
 type client struct {
 	sys        *System
@@ -59,6 +66,8 @@
 	cookie   uint32
 	// via is the daemon that gets all packets of the flow; nil if the fabric chooses.
 	via *daemon
+	// resetBy is the daemon that sent the last reset.
+	resetBy atomic.Pointer[daemon]
 	// refused is set if a daemon refused the flow.
 	refused bool
 }
@@ -95,6 +104,9 @@
 		if p.Accept && f.target == nil {
 			f.target = c.sys.targetAt(from)
 		}
+		if p.Segment.Reset && p.FromDaemon {
+			f.resetBy.Store(c.sys.daemonAt(from.Addr()))
+		}
 		select {
 		case f.received <- p:
 		default: // the queue is full: the packet is lost
@@ -122,6 +134,41 @@
 	}
 }
 
+// keepOpen opens flows one after another until stop closes, each until its target has
+// gone, with long pauses between the requests.
+func (c *client) keepOpen(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+			c.keepFlow(stop)
+			c.sys.sleepBetween(20, 100)
+		}
+	}
+}
+
+// keepFlow opens a flow and sends requests on it with long pauses until one fails.
+func (c *client) keepFlow(stop <-chan struct{}) {
+	f := c.newFlow(c.sys.permanentRoute(), nil)
+	defer c.forget(f)
+	c.sys.checker.increment(&c.sys.checker.flows)
+	if !f.open() {
+		c.sys.checker.increment(&c.sys.checker.rejected)
+		return
+	}
+	for f.request() {
+		select {
+		case <-stop:
+			f.send(&flow.Segment{Close: true}, nil)
+			return
+		case <-time.After(minPause + c.sys.randomDelay(uint64((maxPause - minPause).Milliseconds()))):
+		}
+	}
+	c.sys.checker.increment(&c.sys.checker.lost)
+	f.send(&flow.Segment{Close: true}, nil)
+}
+
 // newFlow returns a flow to a route on a new port, or with the route, addresses and
 // ports of last if that is not nil.
 func (c *client) newFlow(r *route, last *clientFlow) *clientFlow {
@@ -249,6 +296,7 @@
 	f.system.checker.recordRequest(id, f.route.nonIdempotent)
 	data := make([]byte, requestSize)
 	binary.BigEndian.PutUint64(data, id)
+	started := time.Now()
 	deadline := time.After(requestTimeout)
 	wait := firstRetransmit
 	for {
@@ -257,11 +305,15 @@
 		for waiting := true; waiting; {
 			select {
 			case <-deadline:
+				f.system.checker.recordGone(f, started, time.Now(), true)
 				return false
 			case <-timer:
 				waiting = false
 			case p := <-f.received:
 				if done, ok := f.handleReceived(&p, id); done {
+					if !ok {
+						f.system.checker.recordGone(f, started, time.Now(), false)
+					}
 					return ok
 				}
 			}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -83,7 +83,7 @@
 	}, 0},
 	{"packets to a daemon lost", func(s *System) func() {
 		d := s.randomDaemon()
-		done := d.faults.begin()
+		done, healed := d.faults.begin(), d.cuts.begin()
 		d.mu.Lock()
 		d.packetLoss = []float64{0.05, 0.3, 1}[s.rand()%3]
 		d.mu.Unlock()
@@ -92,6 +92,7 @@
 			d.packetLoss = 0
 			d.mu.Unlock()
 			done()
+			healed()
 		}
 	}, 0},
 	{"daemon turned away by the store", storeProxyFault(storeRefuses), 0},
@@ -140,11 +141,42 @@
 		return done
 	}, 0},
 	{"target replaced", func(s *System) func() {
-		s.mu.Lock()
-		n := len(s.targets)
-		s.mu.Unlock()
-		if n < maxTargets && s.addTarget(n) == nil {
-			s.randomTarget().drainAndStop()
+		s.replaceTarget((*target).drainAndStop)
+		return func() {}
+	}, 0},
+	{"target killed", func(s *System) func() {
+		s.replaceTarget((*target).kill)
+		return func() {}
+	}, 0},
+	{"targets drained in series", func(s *System) func() {
+		for range 2 + s.rand()%4 {
+			s.replaceTarget((*target).drainAndStop)
+			s.sleepBetween(50, 400)
+		}
+		return func() {}
+	}, 0},
+	{"targets' writes fail", func(s *System) func() {
+		s.failWrites(plat.WritesRefused+plat.WriteFault(s.rand()%uint64(plat.WriteFaults-plat.WritesRefused)), []float64{0.5, 0.9, 1}[s.rand()%3])
+		return func() { s.failWrites(plat.WritesServed, 0) }
+	}, silentTime},
+	{"targets cut off from the store", func(s *System) func() {
+		return cutOff(s.randomTargets(1 + int(s.rand()%4)))
+	}, silentTime},
+	{"draining targets cut off from the store", func(s *System) func() {
+		var list []*target
+		for range 1 + s.rand()%3 {
+			list = append(list, s.replaceTarget((*target).drainAndStop)...)
+			s.sleepBetween(50, 400)
+		}
+		return cutOff(list)
+	}, silentTime},
+	{"daemons released in turn", func(s *System) func() {
+		for range 1 + s.rand()%3 {
+			d := s.randomDaemon()
+			done := d.faults.begin()
+			d.stop(syscall.SIGTERM)
+			s.restart(d)
+			done()
 		}
 		return func() {}
 	}, 0},
@@ -202,6 +234,10 @@
 // hushTime is how long the store's watches hear nothing.
 const hushTime = time.Second
 
+// silentTime is how long targets' entries are not written at least: longer than the
+// entries last.
+const silentTime = 5 * time.Second
+
 // maxTargets bounds the targets that a soak test creates.
 const maxTargets = 200
 
@@ -319,13 +355,56 @@
 	s.mu.Unlock() // before the targets' locks are taken
 	var list []*target
 	for _, t := range all {
-		if t.drainingSince().IsZero() {
+		if t.drainingSince().IsZero() && t.goneSince().IsZero() {
 			list = append(list, t)
 		}
 	}
 	return list
 }
 
+// randomTargets returns up to n different targets that do not drain.
+func (s *System) randomTargets(n int) []*target {
+	list := s.activeTargets()
+	for i := range list {
+		j := i + int(s.rand()%uint64(len(list)-i))
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:min(n, len(list))]
+}
+
+// replaceTarget adds a target and ends another one, which it returns, unless there are
+// too many targets.
+func (s *System) replaceTarget(end func(t *target)) []*target {
+	s.mu.Lock()
+	n := len(s.targets)
+	s.mu.Unlock()
+	if n >= maxTargets || s.addTarget(n) != nil {
+		return nil
+	}
+	t := s.randomTarget()
+	end(t)
+	return []*target{t}
+}
+
+// failWrites sets what becomes of a share of the targets' writes.
+func (s *System) failWrites(f plat.WriteFault, share float64) {
+	s.store.SetWriteFault(f, share, s.rand())
+}
+
+// cutOff cuts targets off from the store alone. The function that it returns ends
+// that.
+func cutOff(list []*target) func() {
+	for _, t := range list {
+		t.setCutOff(true)
+	}
+	return func() {
+		for _, t := range list {
+			t.setCutOff(false)
+			t.writeHeartbeat()
+		}
+	}
+}
+
 func (s *System) randomTarget() *target {
 	list := s.activeTargets()
 	return list[s.rand()%uint64(len(list))]
--- a/internal/standin/soak/reading_test.go
+++ b/internal/standin/soak/reading_test.go
@@ -5,11 +5,14 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"coltsfootdock/internal/standin/plat"
 )
 
 // buildDaemon builds the daemon program and returns its path.
@@ -117,6 +120,23 @@
 	}
 }
 
+// TestOpenFlowsSurviveLostWrites guards against daemons that reset open flows of targets
+// that serve, ready or draining, as the store takes no writes and their entries lapse
+// (FLOW, incident 41).
+func TestOpenFlowsSurviveLostWrites(t *testing.T) {
+	runScenario(t, Options{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: 41, Bound: 3 * time.Second, Daemons: 18, Targets: 45, Clients: 6, KeptFlows: 20, Slot: 36,
+	}, func(s *System) {
+		time.Sleep(maxPause / 2)
+		for range 4 {
+			s.randomTarget().drainAndStop()
+		}
+		s.failWrites(plat.WritesSilent, 1)
+		time.Sleep(3*heartbeatInterval + 6*time.Second)
+		s.failWrites(plat.WritesServed, 0)
+	})
+}
+
 // runScenario starts a system without faults, makes changes and checks what targets
 // and clients see until settleTime after them.
 func runScenario(t *testing.T, opts Options, change func(s *System)) {
@@ -137,6 +157,9 @@
 	for _, c := range s.clients {
 		s.wg.Go(func() { c.run(stop) })
 		s.wg.Go(func() { s.openDirectly(c, stop) })
+		for range opts.KeptFlows {
+			s.wg.Go(func() { c.keepOpen(stop) })
+		}
 	}
 	change(s)
 	time.Sleep(settleTime)
@@ -144,7 +167,7 @@
 	r := s.result()
 	require.Positive(t, r.Served)
 	for _, b := range r.Broken[:min(len(r.Broken), 5)] {
-		t.Logf("%s: %s: %s", b.At.Round(time.Millisecond), b.Promise, b.Detail)
+		t.Logf("%s: %s: %s\n%s", b.At.Round(time.Millisecond), b.Promise, b.Detail, strings.Join(b.Lines, "\n"))
 	}
-	require.Empty(t, r.Broken)
+	require.Zero(t, len(r.Broken), "violated guarantees")
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -28,7 +29,13 @@
 	Lost    int
 	Refused int
 	Checks  int
-	Broken  []Violation
+	// Gone counts the requests on flows of targets that had gone, GoneTimeouts those of
+	// them that no reset ended. GoneMedian and GoneMax are how long their callers waited.
+	Gone         int
+	GoneTimeouts int
+	GoneMedian   time.Duration
+	GoneMax      time.Duration
+	Broken       []Violation
 }
 
 // Fault-free periods before and after the faults.
@@ -72,6 +79,9 @@
 		for range 2 {
 			s.wg.Go(func() { c.run(stop) })
 		}
+		for range opts.KeptFlows {
+			s.wg.Go(func() { c.keepOpen(stop) })
+		}
 	}
 	s.wg.Go(func() { s.openDirectly(s.clients[0], stop) })
 	s.injectFaults()
@@ -94,10 +104,15 @@
 	for i := range c.violations {
 		c.violations[i].Lines = s.logLinesAbout(c.violations[i].About)
 	}
-	return &Result{
+	r := &Result{
 		Seed: s.opts.Seed, Reading: readings[s.opts.Reading].name, Bound: s.opts.Bound, Injected: s.injected, Flows: c.flows, Served: c.served, Lost: c.lost, Refused: c.rejected,
-		Checks: c.checks, Broken: c.violations,
+		Checks: c.checks, Gone: len(c.gone.times), GoneTimeouts: c.gone.timeouts, Broken: c.violations,
+	}
+	if r.Gone > 0 {
+		slices.Sort(c.gone.times)
+		r.GoneMedian, r.GoneMax = c.gone.times[r.Gone/2], c.gone.times[r.Gone-1]
 	}
+	return r
 }
 
 // maxLogLines bounds the log lines that are reported with a violation.
@@ -156,6 +171,8 @@
 	fmt.Fprintf(w, "store: %s; bound %s\n", r.Reading, r.Bound)
 	fmt.Fprintf(w, "seed %d: %d flows, %d requests served, %d lost, %d flows refused, %d checks, %d broken\n",
 		r.Seed, r.Flows, r.Served, r.Lost, r.Refused, r.Checks, len(r.Broken))
+	fmt.Fprintf(w, "requests at targets that had gone: %d, %d of them timed out; waits: median %s, longest %s\n",
+		r.Gone, r.GoneTimeouts, r.GoneMedian.Round(time.Millisecond), r.GoneMax.Round(time.Millisecond))
 	for _, k := range faultKinds {
 		if n := r.Injected[k.name]; n > 0 {
 			fmt.Fprintf(w, "  %-32s %d\n", k.name, n)
@@ -168,3 +185,18 @@
 		}
 	}
 }
+
+// PrintLine writes the result as one line that counts the violations of each
+// guarantee.
+func (r *Result) PrintLine(w io.Writer) {
+	counts := make(map[string]int)
+	for _, b := range r.Broken {
+		counts[b.Promise]++
+	}
+	var broken strings.Builder
+	for _, promise := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(&broken, ", %s: %d", promise, counts[promise])
+	}
+	fmt.Fprintf(w, "seed %d: %d flows, %d served, %d lost, %d refused; %d at targets that had gone, %d timed out, waits %s, longest %s; %d broken%s\n",
+		r.Seed, r.Flows, r.Served, r.Lost, r.Refused, r.Gone, r.GoneTimeouts, r.GoneMedian.Round(time.Millisecond), r.GoneMax.Round(time.Millisecond), len(r.Broken), &broken)
+}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -14,7 +14,7 @@
 	dir, program := t.TempDir(), buildDaemon(t)
 	for _, seed := range []uint64{7} {
 		r, err := Run(t.Context(), Options{
-			Daemon: program, Dir: dir, Seed: seed, Bound: 3 * time.Second, For: 12 * time.Second, Daemons: 6, Targets: 12, Clients: 12, Slot: 40, Reading: -1,
+			Daemon: program, Dir: dir, Seed: seed, Bound: 3 * time.Second, For: 12 * time.Second, Daemons: 6, Targets: 12, Clients: 12, KeptFlows: 4, Slot: 40, Reading: -1,
 		})
 		require.NoError(t, err)
 		r.Print(os.Stdout)
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -71,6 +71,9 @@
 	Daemons int
 	Targets int
 	Clients int
+	// KeptFlows is the number of flows that each client keeps open until their targets
+	// have gone, with pauses of seconds.
+	KeptFlows int
 	// Slot selects the address range, so that soak tests can run concurrently: 0
 	// to 40.
 	Slot int
@@ -101,8 +104,10 @@
 	dataAddr   netip.AddrPort
 	storeProxy *storeProxy
 	faults     faultTracker
-	mu         sync.Mutex
-	cmd        *exec.Cmd
+	// cuts are the times in which packets to the daemon are lost.
+	cuts faultTracker
+	mu   sync.Mutex
+	cmd  *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
 	// ready is the result of the readiness probes, missedProbes the number of
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -56,12 +56,18 @@
 	addr       netip.AddrPort
 	faults     faultTracker
 
-	mu           sync.Mutex
-	startedAt    int64
-	drainStart   time.Time
+	mu         sync.Mutex
+	startedAt  int64
+	drainStart time.Time
+	// drainAcked is when the store had acknowledged the draining entry.
+	drainAcked time.Time
+	// cutOff is set while the target does not reach the store.
+	cutOff       bool
 	unresponsive bool
 	stopped      bool
-	flows        map[flow.Tuple]*targetFlow
+	// goneAt is when the target's process ended.
+	goneAt time.Time
+	flows  map[flow.Tuple]*targetFlow
 	// health accepts the connections of health checks; it is nil while the port is
 	// closed.
 	health net.Listener
@@ -144,6 +150,20 @@
 	return t.drainStart
 }
 
+// drainAckedSince returns when the store had acknowledged that the target drains.
+func (t *target) drainAckedSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drainAcked
+}
+
+// goneSince returns when the target's process ended; zero if it runs.
+func (t *target) goneSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.goneAt
+}
+
 func (t *target) hasFlow(f flow.Tuple) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,31 +211,68 @@
 // writeHeartbeat writes the target's entry to the store.
 func (t *target) writeHeartbeat() {
 	t.mu.Lock()
-	silent := t.unresponsive || t.stopped
-	spec := platform.NewTargetSpec(t.pool, t.addr.String(), t.dataCentre.name, 2, !t.drainStart.IsZero(), t.startedAt)
+	silent := t.unresponsive || t.stopped || t.cutOff
+	draining := !t.drainStart.IsZero()
+	spec := platform.NewTargetSpec(t.pool, t.addr.String(), t.dataCentre.name, 2, draining, t.startedAt)
 	t.mu.Unlock()
-	if !silent && !t.sys.heartbeatsAreBlocked() {
-		t.sys.store.Put(targetsKind, t.id, spec)
+	if !silent && !t.sys.heartbeatsAreBlocked() && t.sys.store.Write(targetsKind, t.id, spec) && draining {
+		t.beginLeaving()
 	}
 }
 
+// setCutOff sets whether the target reaches the store.
+func (t *target) setCutOff(cutOff bool) {
+	t.mu.Lock()
+	t.cutOff = cutOff
+	t.mu.Unlock()
+}
+
 // drainAndStop drains the target and stops it once it has served its flows.
 func (t *target) drainAndStop() {
 	t.mu.Lock()
 	t.drainStart = time.Now()
 	t.mu.Unlock()
 	t.writeHeartbeat()
+}
+
+// beginLeaving stops the target once it has served its flows, from the
+// acknowledgement that it drains.
+func (t *target) beginLeaving() {
+	t.mu.Lock()
+	first := t.drainAcked.IsZero()
+	if first {
+		t.drainAcked = time.Now()
+	}
+	t.mu.Unlock()
+	if !first {
+		return
+	}
 	serve := t.sys.opts.Bound + minDrainServeTime + t.sys.randomDelay(uint64(drainServeSpread.Milliseconds()))
 	t.sys.after(serve, func() {
-		t.mu.Lock()
-		t.stopped = true
-		t.flows = nil
-		t.mu.Unlock()
+		t.end()
 		t.sys.store.Drop(targetsKind, t.id)
 		t.close()
 	})
 }
 
+// kill ends the target's process without a word. Targets with an even ID also refuse
+// packets; the others leave them without an answer, as a lost VM does.
+func (t *target) kill() {
+	t.faults.begin() // never ends
+	t.end()
+	t.closeHealth()
+	if t.packetID%2 == 0 {
+		t.close()
+	}
+}
+
+// end drops all flows: the target answers nothing any more.
+func (t *target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped, t.flows, t.goneAt = true, nil, time.Now()
+}
+
 func (t *target) serve() {
 	buf := make([]byte, 2048)
 	for {
