--- a/cmd/standin/cmd/soak.go
+++ b/cmd/standin/cmd/soak.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,6 +33,7 @@
 	fs.IntVar(&opts.KeptFlows, "kept", 4, "number of flows that each client keeps open until their targets have gone")
 	fs.IntVar(&opts.Slot, "slot", 0, "number from 0 to 40 that selects the address range; concurrent soaks need different ones")
 	fs.IntVar(&opts.Reading, "reading", -1, "index of the reading of the store's protocol; negative if the seed selects it")
+	faults := fs.String("faults", "", "parts of the names of the faults to inject, separated by commas; all if empty")
 	seeds := fs.String("seeds", "", "first and last seed, such as 100-149: play them in series, print a line each and the sum")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return &ffcli.Command{
@@ -50,6 +52,9 @@
 				}
 				opts.Dir = dir
 			}
+			if *faults != "" {
+				opts.Faults = strings.Split(*faults, ",")
+			}
 			if *seeds != "" {
 				return playSeries(ctx, out, opts, *seeds)
 			}
@@ -73,7 +78,8 @@
 }
 
 // playSeries runs a soak test for each seed of a range, one after the other, and
-// prints a line for each and the sum. The logs of sound runs are removed.
+// prints a line for each and the sum. The logs of sound runs are removed, the result
+// of each other run is kept beside its logs.
 func playSeries(ctx context.Context, out io.Writer, opts soak.Options, seeds string) error {
 	var first, last uint64
 	if _, err := fmt.Sscanf(seeds, "%d-%d", &first, &last); err != nil || last < first {
@@ -93,6 +99,9 @@
 		r.PrintLine(out)
 		if len(r.Broken) > 0 {
 			broken++
+			if err := keepResult(r, opts.Dir); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := os.RemoveAll(opts.Dir); err != nil {
@@ -105,3 +114,13 @@
 	}
 	return nil
 }
+
+// keepResult writes a result to a file in a directory.
+func keepResult(r *soak.Result, dir string) error {
+	f, err := os.Create(filepath.Join(dir, "result.txt"))
+	if err != nil {
+		return err
+	}
+	r.Print(f)
+	return f.Close()
+}
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -208,17 +208,19 @@
 func (c *checker) checkReset(f *clientFlow, now time.Time) {
 	t, d := f.target, f.resetBy.Load()
 	allowed := t == nil || f.route.isRemoved() || !t.faults.stableAt(now) || !t.hasFlow(f.tuple) || d != nil && !d.cuts.stableAt(now)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.checks++
-	if allowed {
-		return
+	entry, by := "", "unknown"
+	if !allowed {
+		entry = t.describe()
 	}
-	by := "unknown"
 	if d != nil {
 		by = d.id
 	}
-	c.recordViolation("open flow", f.tuple.Source().String(), "flow %s:%d was reset by %s although target %s still holds it", f.tuple.Source(), f.tuple.ServicePort, by, t.id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checks++
+	if !allowed {
+		c.recordViolation("open flow", f.tuple.Source().String(), "flow %s:%d was reset by %s although target %s (%s) still holds it", f.tuple.Source(), f.tuple.ServicePort, by, t.id, entry)
+	}
 }
 
 // waits are the times for which callers waited on flows of targets that had gone, until
--- a/internal/standin/soak/direct.go
+++ b/internal/standin/soak/direct.go
@@ -40,7 +40,7 @@
 		default:
 		}
 		s.sleepBetween(20, 60)
-		d := s.randomDaemon()
+		d := s.daemons[s.rand()%uint64(len(s.daemons))]
 		r := s.recentRoute()
 		if r == nil || !d.inRotation() {
 			continue
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -59,21 +60,21 @@
 		done := d.faults.begin()
 		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
 			d.signal(sig)
-			s.sleepBetween(1, 150)
+			s.drawPause(1, 150)
 		}
 		return func() { d.stop(syscall.SIGKILL); s.restart(d); done() }
 	}, 0},
 	{"first daemons lost", func(s *System) func() {
-		return s.loseFirst(1 + int(s.rand()%uint64(1+len(s.daemons)/3)))
+		return s.loseFirst(1 + int(s.draw()%uint64(1+len(s.daemons)/3)))
 	}, lostTime},
 	{"drains unheard, first daemons lost", func(s *System) func() {
 		done := s.checker.storeFaults.begin()
 		s.store.HushWatches(hushTime)
-		for range 1 + s.rand()%3 {
+		for range 1 + s.draw()%3 {
 			s.randomTarget().drainAndStop()
 		}
-		s.sleepBetween(100, 1500)
-		heal := s.loseFirst(1 + int(s.rand()%uint64(1+len(s.daemons)/3)))
+		s.drawPause(100, 1500)
+		heal := s.loseFirst(1 + int(s.draw()%uint64(1+len(s.daemons)/3)))
 		s.after(hushTime, done)
 		return heal
 	}, lostTime},
@@ -85,7 +86,7 @@
 		d := s.randomDaemon()
 		done, healed := d.faults.begin(), d.cuts.begin()
 		d.mu.Lock()
-		d.packetLoss = []float64{0.05, 0.3, 1}[s.rand()%3]
+		d.packetLoss = []float64{0.05, 0.3, 1}[s.draw()%3]
 		d.mu.Unlock()
 		return func() {
 			d.mu.Lock()
@@ -149,29 +150,29 @@
 		return func() {}
 	}, 0},
 	{"targets drained in series", func(s *System) func() {
-		for range 2 + s.rand()%4 {
+		for range 2 + s.draw()%4 {
 			s.replaceTarget((*target).drainAndStop)
-			s.sleepBetween(50, 400)
+			s.drawPause(50, 400)
 		}
 		return func() {}
 	}, 0},
 	{"targets' writes fail", func(s *System) func() {
-		s.failWrites(plat.WritesRefused+plat.WriteFault(s.rand()%uint64(plat.WriteFaults-plat.WritesRefused)), []float64{0.5, 0.9, 1}[s.rand()%3])
+		s.failWrites(plat.WritesRefused+plat.WriteFault(s.draw()%uint64(plat.WriteFaults-plat.WritesRefused)), []float64{0.5, 0.9, 1}[s.draw()%3])
 		return func() { s.failWrites(plat.WritesServed, 0) }
 	}, silentTime},
 	{"targets cut off from the store", func(s *System) func() {
-		return cutOff(s.randomTargets(1 + int(s.rand()%4)))
+		return cutOff(s.randomTargets(1 + int(s.draw()%4)))
 	}, silentTime},
 	{"draining targets cut off from the store", func(s *System) func() {
 		var list []*target
-		for range 1 + s.rand()%3 {
+		for range 1 + s.draw()%3 {
 			list = append(list, s.replaceTarget((*target).drainAndStop)...)
-			s.sleepBetween(50, 400)
+			s.drawPause(50, 400)
 		}
 		return cutOff(list)
 	}, silentTime},
 	{"daemons released in turn", func(s *System) func() {
-		for range 1 + s.rand()%3 {
+		for range 1 + s.draw()%3 {
 			d := s.randomDaemon()
 			done := d.faults.begin()
 			d.stop(syscall.SIGTERM)
@@ -188,7 +189,7 @@
 		r := s.addRoute("desk")
 		return func() {
 			s.moveRoute(r, "proof")
-			s.after(s.randomDelay(6000), func() { s.removeRoute(r) })
+			s.after(time.Duration(s.draw()%6000)*time.Millisecond, func() { s.removeRoute(r) })
 		}
 	}, 0},
 	{"versions in quick succession", func(s *System) func() {
@@ -209,7 +210,7 @@
 		return done
 	}, hushTime},
 	{"data centre out", func(s *System) func() {
-		dc := s.dataCentres[s.rand()%dataCentreCount]
+		dc := s.dataCentres[s.draw()%dataCentreCount]
 		if !dc.outSince().IsZero() {
 			return func() {}
 		}
@@ -346,7 +347,16 @@
 	s.checker.recordViolation("soak", about, format, args...)
 }
 
-func (s *System) randomDaemon() *daemon { return s.daemons[s.rand()%uint64(len(s.daemons))] }
+// draw returns the next random number of the faults. Only the goroutine that injects
+// faults uses it, so that a seed always draws the same faults, whatever the traffic.
+func (s *System) draw() uint64 { return s.faultRNG.Uint64() }
+
+// drawPause waits for a random time of at least low and below high milliseconds.
+func (s *System) drawPause(low, high uint64) {
+	time.Sleep(time.Duration(low+s.draw()%(high-low)) * time.Millisecond)
+}
+
+func (s *System) randomDaemon() *daemon { return s.daemons[s.draw()%uint64(len(s.daemons))] }
 
 // activeTargets returns the targets that do not drain.
 func (s *System) activeTargets() []*target {
@@ -366,7 +376,7 @@
 func (s *System) randomTargets(n int) []*target {
 	list := s.activeTargets()
 	for i := range list {
-		j := i + int(s.rand()%uint64(len(list)-i))
+		j := i + int(s.draw()%uint64(len(list)-i))
 		list[i], list[j] = list[j], list[i]
 	}
 	return list[:min(n, len(list))]
@@ -388,7 +398,7 @@
 
 // failWrites sets what becomes of a share of the targets' writes.
 func (s *System) failWrites(f plat.WriteFault, share float64) {
-	s.store.SetWriteFault(f, share, s.rand())
+	s.store.SetWriteFault(f, share, s.draw())
 }
 
 // cutOff cuts targets off from the store alone. The function that it returns ends
@@ -407,12 +417,23 @@
 
 func (s *System) randomTarget() *target {
 	list := s.activeTargets()
-	return list[s.rand()%uint64(len(list))]
+	return list[s.draw()%uint64(len(list))]
+}
+
+// kinds returns the faults that are to be injected.
+func (o *Options) kinds() []faultKind {
+	if len(o.Faults) == 0 {
+		return faultKinds
+	}
+	return slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool {
+		return !slices.ContainsFunc(o.Faults, func(part string) bool { return strings.Contains(k.name, part) })
+	})
 }
 
 // injectFaults starts random faults, up to maxActiveFaults at once, for the
 // configured time, and then ends all of them.
 func (s *System) injectFaults() {
+	kinds := s.opts.kinds()
 	end := time.Now().Add(s.opts.For)
 	type activeFault struct {
 		healAt time.Time
@@ -426,13 +447,13 @@
 				delete(running, k.name)
 			}
 		}
-		k := faultKinds[s.rand()%uint64(len(faultKinds))]
+		k := kinds[s.draw()%uint64(len(kinds))]
 		if _, ok := running[k.name]; !ok && len(running) < maxActiveFaults {
 			s.injected[k.name]++
 			heal := k.inject(s)
-			running[k.name] = activeFault{healAt: time.Now().Add(k.minDuration + time.Duration(200+s.rand()%6000)*time.Millisecond), heal: heal}
+			running[k.name] = activeFault{healAt: time.Now().Add(k.minDuration + time.Duration(200+s.draw()%6000)*time.Millisecond), heal: heal}
 		}
-		s.sleepBetween(100, 2000)
+		s.drawPause(100, 2000)
 	}
 	for _, k := range faultKinds {
 		if o, ok := running[k.name]; ok {
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -55,7 +55,7 @@
 		opts.Bound = bounds[opts.Seed/uint64(len(readings))%uint64(len(bounds))]
 	}
 	return &System{
-		opts: opts, checker: newChecker(opts.Bound), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), injected: make(map[string]int), ctx: ctx,
+		opts: opts, checker: newChecker(opts.Bound), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), faultRNG: rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)), injected: make(map[string]int), ctx: ctx,
 	}
 }
 
@@ -67,6 +67,9 @@
 		cancel()
 		s.close()
 	}()
+	if len(opts.kinds()) == 0 {
+		return nil, fmt.Errorf("no fault has a name with any of %q", opts.Faults)
+	}
 	if err := s.build(); err != nil {
 		return nil, err
 	}
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -74,6 +74,8 @@
 	// KeptFlows is the number of flows that each client keeps open until their targets
 	// have gone, with pauses of seconds.
 	KeptFlows int
+	// Faults are parts of the names of the faults to inject; all if it is empty.
+	Faults []string
 	// Slot selects the address range, so that soak tests can run concurrently: 0
 	// to 40.
 	Slot int
@@ -159,13 +161,15 @@
 
 // System is a running soak test.
 type System struct {
-	opts          Options
-	checker       *checker
-	store         *plat.Platform
-	wg            sync.WaitGroup
-	mu            sync.Mutex
-	rngMu         sync.Mutex
-	rng           *rand.Rand
+	opts    Options
+	checker *checker
+	store   *plat.Platform
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	rngMu   sync.Mutex
+	rng     *rand.Rand
+	// faultRNG selects the faults.
+	faultRNG      *rand.Rand
 	dataCentres   []*dataCentre
 	daemons       []*daemon
 	targets       []*target
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -164,6 +164,18 @@
 	return t.goneAt
 }
 
+// describe returns the target's state and whether the store has its entry.
+func (t *target) describe() string {
+	state, entry := "ready", "in the store"
+	if since := t.drainAckedSince(); !since.IsZero() {
+		state = fmt.Sprintf("draining for %s", time.Since(since).Round(time.Millisecond))
+	}
+	if !slices.Contains(t.sys.store.Names(targetsKind), t.id) {
+		entry = "not in the store"
+	}
+	return state + ", " + entry
+}
+
 func (t *target) hasFlow(f flow.Tuple) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
