soak: killed targets refuse or are silent as a lost VM, addresses are reused

The soak showed one kind of it, a refused connection; a lost VM answers none, and after 2 s another service's target may listen at the address. Killed targets now refuse packets and health checks, refuse health checks alone or leave both without an answer, by id; a fault reuses the address.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -149,6 +149,19 @@
 		s.replaceTarget((*target).kill)
 		return func() {}
 	}, 0},
+	{"target killed, address reused", func(s *System) func() {
+		for _, t := range s.replaceTarget((*target).killForGood) {
+			time.Sleep(addressReuse)
+			s.mu.Lock()
+			n := len(s.targets)
+			s.mu.Unlock()
+			other := map[string]string{"desk": "proof", "proof": "desk"}[t.pool]
+			if err := s.addTargetAt(n, other, t.addr); err != nil {
+				s.recordSoakError(t.id, "no target can start at the address of %s: %s", t.id, err)
+			}
+		}
+		return func() {}
+	}, 0},
 	{"targets drained in series", func(s *System) func() {
 		for range 2 + s.draw()%4 {
 			s.replaceTarget((*target).drainAndStop)
@@ -239,6 +252,9 @@
 // entries last.
 const silentTime = 5 * time.Second
 
+// addressReuse is how long the address of a target that has gone is not used again.
+const addressReuse = 2 * time.Second
+
 // maxTargets bounds the targets that a soak test creates.
 const maxTargets = 200
 
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -247,7 +248,7 @@
 func (s *System) targetAt(a netip.AddrPort) *target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.targets {
+	for _, t := range slices.Backward(s.targets) { // the last one at an address is there now
 		if t.addr.Addr() == a.Addr().Unmap() {
 			return t
 		}
@@ -327,12 +328,18 @@
 	return nil
 }
 
+// addTarget starts the n-th target at its own address.
 func (s *System) addTarget(n int) error {
 	pool := "desk"
 	if n%4 == 3 {
 		pool = "proof"
 	}
-	t, err := newTarget(s, n, pool, s.dataCentres[n%dataCentreCount])
+	return s.addTargetAt(n, pool, netip.AddrPortFrom(s.opts.host(roleTarget, n), targetPort))
+}
+
+// addTargetAt starts the n-th target at an address that may have been another target's.
+func (s *System) addTargetAt(n int, pool string, addr netip.AddrPort) error {
+	t, err := newTarget(s, n, pool, s.dataCentres[n%dataCentreCount], addr)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"coltsfootdock/internal/state/flow"
@@ -85,8 +87,7 @@
 	lastAnswer []byte
 }
 
-func newTarget(s *System, n int, pool string, dc *dataCentre) (*target, error) {
-	addr := netip.AddrPortFrom(s.opts.host(roleTarget, n), targetPort)
+func newTarget(s *System, n int, pool string, dc *dataCentre, addr netip.AddrPort) (*target, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
@@ -267,15 +268,62 @@
 	})
 }
 
-// kill ends the target's process without a word. Targets with an even ID also refuse
-// packets; the others leave them without an answer, as a lost VM does.
+// kill ends the target's process without a word. By its ID it refuses packets and
+// health checks, as a lost process does, refuses health checks alone, or leaves both
+// without an answer, as a lost VM does.
 func (t *target) kill() {
+	t.crash()
+	switch t.packetID % 3 {
+	case 0:
+		t.close()
+	case 1:
+		t.closeHealth()
+	default:
+		if err := t.silenceHealth(); err != nil {
+			t.sys.recordSoakError(t.id, "target %s cannot silence its health port: %s", t.id, err)
+		}
+	}
+}
+
+// killForGood ends the target's process and frees its address.
+func (t *target) killForGood() {
+	t.crash()
+	t.close()
+}
+
+// crash drops all flows and answers nothing any more.
+func (t *target) crash() {
 	t.faults.begin() // never ends
 	t.end()
+}
+
+// silenceHealth replaces the health port by one whose queue of connections is full, so
+// that further attempts have no answer.
+func (t *target) silenceHealth() error {
 	t.closeHealth()
-	if t.packetID%2 == 0 {
-		t.close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	t.sys.wg.Go(func() {
+		<-t.sys.ctx.Done()
+		_ = syscall.Close(fd)
+	})
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(t.addr.Port()), Addr: t.addr.Addr().As4()}); err != nil {
+		return err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return err
 	}
+	for range 2 { // the second one has no answer
+		if c, err := net.DialTimeout("tcp4", t.addr.String(), 50*time.Millisecond); err == nil {
+			context.AfterFunc(t.sys.ctx, func() { _ = c.Close() })
+		}
+	}
+	return nil
 }
 
 // end drops all flows: the target answers nothing any more.
