--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -71,6 +72,11 @@
 	Daemons int
 	Targets int
 	Clients int
+	// KeptFlows is the number of flows that each client keeps open until their targets
+	// have gone, with pauses of seconds.
+	KeptFlows int
+	// Faults are parts of the names of the faults to inject; all if it is empty.
+	Faults []string
 	// Slot selects the address range, so that soak tests can run concurrently: 0
 	// to 40.
 	Slot int
@@ -101,8 +107,10 @@
 	dataAddr   netip.AddrPort
 	storeProxy *storeProxy
 	faults     faultTracker
-	mu         sync.Mutex
-	cmd        *exec.Cmd
+	// cuts are the times in which packets to the daemon are lost.
+	cuts faultTracker
+	mu   sync.Mutex
+	cmd  *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
 	// ready is the result of the readiness probes, missedProbes the number of
@@ -154,13 +162,15 @@
 
 // System is a running soak test.
 type System struct {
-	opts          Options
-	checker       *checker
-	store         *plat.Platform
-	wg            sync.WaitGroup
-	mu            sync.Mutex
-	rngMu         sync.Mutex
-	rng           *rand.Rand
+	opts    Options
+	checker *checker
+	store   *plat.Platform
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	rngMu   sync.Mutex
+	rng     *rand.Rand
+	// faultRNG selects the faults.
+	faultRNG      *rand.Rand
 	dataCentres   []*dataCentre
 	daemons       []*daemon
 	targets       []*target
@@ -238,7 +248,7 @@
 func (s *System) targetAt(a netip.AddrPort) *target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.targets {
+	for _, t := range slices.Backward(s.targets) { // the last one at an address is there now
 		if t.addr.Addr() == a.Addr().Unmap() {
 			return t
 		}
@@ -318,12 +328,18 @@
 	return nil
 }
 
+// addTarget starts the n-th target at its own address.
 func (s *System) addTarget(n int) error {
 	pool := "desk"
 	if n%4 == 3 {
 		pool = "proof"
 	}
-	t, err := newTarget(s, n, pool, s.dataCentres[n%dataCentreCount])
+	return s.addTargetAt(n, pool, netip.AddrPortFrom(s.opts.host(roleTarget, n), targetPort))
+}
+
+// addTargetAt starts the n-th target at an address that may have been another target's.
+func (s *System) addTargetAt(n int, pool string, addr netip.AddrPort) error {
+	t, err := newTarget(s, n, pool, s.dataCentres[n%dataCentreCount], addr)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"coltsfootdock/internal/state/flow"
@@ -56,12 +58,18 @@
 	addr       netip.AddrPort
 	faults     faultTracker
 
-	mu           sync.Mutex
-	startedAt    int64
-	drainStart   time.Time
+	mu         sync.Mutex
+	startedAt  int64
+	drainStart time.Time
+	// drainAcked is when the store had acknowledged the draining entry.
+	drainAcked time.Time
+	// cutOff is set while the target does not reach the store.
+	cutOff       bool
 	unresponsive bool
 	stopped      bool
-	flows        map[flow.Tuple]*targetFlow
+	// goneAt is when the target's process ended.
+	goneAt time.Time
+	flows  map[flow.Tuple]*targetFlow
 	// health accepts the connections of health checks; it is nil while the port is
 	// closed.
 	health net.Listener
@@ -79,8 +87,7 @@
 	lastAnswer []byte
 }
 
-func newTarget(s *System, n int, pool string, dc *dataCentre) (*target, error) {
-	addr := netip.AddrPortFrom(s.opts.host(roleTarget, n), targetPort)
+func newTarget(s *System, n int, pool string, dc *dataCentre, addr netip.AddrPort) (*target, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
@@ -144,6 +151,32 @@
 	return t.drainStart
 }
 
+// drainAckedSince returns when the store had acknowledged that the target drains.
+func (t *target) drainAckedSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drainAcked
+}
+
+// goneSince returns when the target's process ended; zero if it runs.
+func (t *target) goneSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.goneAt
+}
+
+// describe returns the target's state and whether the store has its entry.
+func (t *target) describe() string {
+	state, entry := "ready", "in the store"
+	if since := t.drainAckedSince(); !since.IsZero() {
+		state = fmt.Sprintf("draining for %s", time.Since(since).Round(time.Millisecond))
+	}
+	if !slices.Contains(t.sys.store.Names(targetsKind), t.id) {
+		entry = "not in the store"
+	}
+	return state + ", " + entry
+}
+
 func (t *target) hasFlow(f flow.Tuple) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,31 +224,115 @@
 // writeHeartbeat writes the target's entry to the store.
 func (t *target) writeHeartbeat() {
 	t.mu.Lock()
-	silent := t.unresponsive || t.stopped
-	spec := platform.NewTargetSpec(t.pool, t.addr.String(), t.dataCentre.name, 2, !t.drainStart.IsZero(), t.startedAt)
+	silent := t.unresponsive || t.stopped || t.cutOff
+	draining := !t.drainStart.IsZero()
+	spec := platform.NewTargetSpec(t.pool, t.addr.String(), t.dataCentre.name, 2, draining, t.startedAt)
 	t.mu.Unlock()
-	if !silent && !t.sys.heartbeatsAreBlocked() {
-		t.sys.store.Put(targetsKind, t.id, spec)
+	if !silent && !t.sys.heartbeatsAreBlocked() && t.sys.store.Write(targetsKind, t.id, spec) && draining {
+		t.beginLeaving()
 	}
 }
 
+// setCutOff sets whether the target reaches the store.
+func (t *target) setCutOff(cutOff bool) {
+	t.mu.Lock()
+	t.cutOff = cutOff
+	t.mu.Unlock()
+}
+
 // drainAndStop drains the target and stops it once it has served its flows.
 func (t *target) drainAndStop() {
 	t.mu.Lock()
 	t.drainStart = time.Now()
 	t.mu.Unlock()
 	t.writeHeartbeat()
+}
+
+// beginLeaving stops the target once it has served its flows, from the
+// acknowledgement that it drains.
+func (t *target) beginLeaving() {
+	t.mu.Lock()
+	first := t.drainAcked.IsZero()
+	if first {
+		t.drainAcked = time.Now()
+	}
+	t.mu.Unlock()
+	if !first {
+		return
+	}
 	serve := t.sys.opts.Bound + minDrainServeTime + t.sys.randomDelay(uint64(drainServeSpread.Milliseconds()))
 	t.sys.after(serve, func() {
-		t.mu.Lock()
-		t.stopped = true
-		t.flows = nil
-		t.mu.Unlock()
+		t.end()
 		t.sys.store.Drop(targetsKind, t.id)
 		t.close()
 	})
 }
 
+// kill ends the target's process without a word. By its ID it refuses packets and
+// health checks, as a lost process does, refuses health checks alone, or leaves both
+// without an answer, as a lost VM does.
+func (t *target) kill() {
+	t.crash()
+	switch t.packetID % 3 {
+	case 0:
+		t.close()
+	case 1:
+		t.closeHealth()
+	default:
+		if err := t.silenceHealth(); err != nil {
+			t.sys.recordSoakError(t.id, "target %s cannot silence its health port: %s", t.id, err)
+		}
+	}
+}
+
+// killForGood ends the target's process and frees its address.
+func (t *target) killForGood() {
+	t.crash()
+	t.close()
+}
+
+// crash drops all flows and answers nothing any more.
+func (t *target) crash() {
+	t.faults.begin() // never ends
+	t.end()
+}
+
+// silenceHealth replaces the health port by one whose queue of connections is full, so
+// that further attempts have no answer.
+func (t *target) silenceHealth() error {
+	t.closeHealth()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	t.sys.wg.Go(func() {
+		<-t.sys.ctx.Done()
+		_ = syscall.Close(fd)
+	})
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(t.addr.Port()), Addr: t.addr.Addr().As4()}); err != nil {
+		return err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return err
+	}
+	for range 2 { // the second one has no answer
+		if c, err := net.DialTimeout("tcp4", t.addr.String(), 50*time.Millisecond); err == nil {
+			context.AfterFunc(t.sys.ctx, func() { _ = c.Close() })
+		}
+	}
+	return nil
+}
+
+// end drops all flows: the target answers nothing any more.
+func (t *target) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped, t.flows, t.goneAt = true, nil, time.Now()
+}
+
 func (t *target) serve() {
 	buf := make([]byte, 2048)
 	for {
