steer: tests answer probes by one prober, unanswered flows are set up once

Cause: four tests and the model ended probes each in its own way. Change: prober and newUnanswered in the test files; no product code.

--- a/internal/coordination/steer/absence_test.go
+++ b/internal/coordination/steer/absence_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 
@@ -14,37 +15,33 @@
 // absentTarget runs a harness in which target i-000001 has no entry and a connection to
 // it has a given outcome.
 type absentTarget struct {
-	*harness
-	outcome Outcome
+	*prober
+	shows Outcome
 	// healthy is a flow on another target that is answered all the time, nil if no
 	// packet is.
 	healthy *client
-	probes  int
-	pending []absentProbe
 }
 
-// absentProbe is a probe that is done at a time.
-type absentProbe struct {
-	Probe
-	done clock.Milli
+// newAbsentTarget returns a harness with two targets.
+func newAbsentTarget(t *testing.T, shows Outcome) *absentTarget {
+	a := &absentTarget{shows: shows}
+	a.prober = newProber(newHarness(t, target(1, "a"), target(2, "a")), func(to netip.AddrPort) Outcome {
+		switch {
+		case to == target(1, "a").Address:
+			return a.shows
+		case a.healthy == nil:
+			return Silent
+		}
+		return Accepted
+	})
+	return a
 }
 
 // wait lets time pass.
 func (a *absentTarget) wait(d clock.Milli) {
 	for end := a.now + d; a.now < end; {
 		a.advance(25)
-		for _, p := range a.core.Probes(a.now) {
-			a.probes++
-			took := clock.Milli(5)
-			if a.outcome == Silent {
-				took = 160
-			}
-			a.pending = append(a.pending, absentProbe{Probe: p, done: a.now + took})
-		}
-		for len(a.pending) > 0 && a.pending[0].done <= a.now {
-			a.core.ProbeDone(a.now, a.pending[0].Probe, a.outcome)
-			a.pending = a.pending[1:]
-		}
+		a.step()
 		if a.healthy != nil && a.now%100 == 0 {
 			a.healthy.roundTrip()
 		}
@@ -84,7 +81,7 @@
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := &absentTarget{harness: newHarness(t, target(1, "a"), target(2, "a")), outcome: tt.outcome}
+			a := newAbsentTarget(t, tt.outcome)
 			idle := a.openOn(nonIdempotentAddress, "i-000001")
 			busy := a.openOn(idempotentAddress, "i-000001")
 			if !tt.deaf {
@@ -142,7 +139,7 @@
 		"older": {0, Deliver}, // its own entry has not lapsed yet
 	} {
 		t.Run(name, func(t *testing.T) {
-			a := &absentTarget{harness: newHarness(t, target(1, "a"), target(2, "a")), outcome: Accepted}
+			a := newAbsentTarget(t, Accepted)
 			c := a.openOn(idempotentAddress, "i-000001")
 			a.removeTarget("i-000001")
 			a.wait(350)
@@ -157,28 +154,28 @@
 // TestAbsentTargetIsAskedRarely guards against probes that cost living targets and
 // daemons much while many entries are absent for long.
 func TestAbsentTargetIsAskedRarely(t *testing.T) {
-	a := &absentTarget{harness: newHarness(t, target(1, "a"), target(2, "a")), outcome: Accepted}
+	a := newAbsentTarget(t, Accepted)
 	idle := a.openOn(idempotentAddress, "i-000001")
 	a.wait(clock.Second)
 	a.removeTarget("i-000001")
 	a.wait(20 * clock.Second)
-	require.LessOrEqual(t, a.probes, 11, "after 0.3 s, 1 s later, then each 2 s")
-	require.GreaterOrEqual(t, a.probes, 9)
-	asked := a.probes
+	require.LessOrEqual(t, a.begun, 11, "after 0.3 s, 1 s later, then each 2 s")
+	require.GreaterOrEqual(t, a.begun, 9)
+	asked := a.begun
 	for range 20 {
 		idle.roundTrip()
 		a.wait(500)
 	}
-	require.Equal(t, asked, a.probes, "a target that answers is not asked")
+	require.Equal(t, asked, a.begun, "a target that answers is not asked")
 	a.updateTarget(target(1, "a"))
 	a.wait(10 * clock.Second)
-	require.Equal(t, asked, a.probes, "nor one whose entry is back")
+	require.Equal(t, asked, a.begun, "nor one whose entry is back")
 }
 
 // TestGoneTargetIsFoundThoughItAnsweredWhileAbsent guards against flows that are never
 // reset because their target once answered after its entry had lapsed.
 func TestGoneTargetIsFoundThoughItAnsweredWhileAbsent(t *testing.T) {
-	a := &absentTarget{harness: newHarness(t, target(1, "a"), target(2, "a")), outcome: Accepted}
+	a := newAbsentTarget(t, Accepted)
 	idle := a.openOn(nonIdempotentAddress, "i-000001")
 	busy := a.openOn(idempotentAddress, "i-000001")
 	a.removeTarget("i-000001")
@@ -187,7 +184,7 @@
 		a.wait(100)
 	}
 	require.Empty(t, a.core.Resets())
-	a.outcome = Refused
+	a.shows = Refused
 	a.wait(4 * clock.Second)
 	require.Contains(t, tuplesOf(a.core.Resets()), idle.tuple)
 }
@@ -195,7 +192,7 @@
 // TestPeersHearThatAbsentTargetsAnswer guards against daemons that can't know that a
 // target lives as each sees few packets of it.
 func TestPeersHearThatAbsentTargetsAnswer(t *testing.T) {
-	a := &absentTarget{harness: newHarness(t, target(1, "a"), target(2, "a")), outcome: Accepted}
+	a := newAbsentTarget(t, Accepted)
 	busy := a.openOn(idempotentAddress, "i-000001")
 	a.removeTarget("i-000001")
 	reports := func() bool {
--- a/internal/coordination/steer/model_test.go
+++ b/internal/coordination/steer/model_test.go
@@ -38,14 +38,7 @@
 	stalled bool
 	cutOff  bool
 	// probes are under way.
-	probes []modelProbe
-}
-
-// modelProbe is a probe that ends at a time.
-type modelProbe struct {
-	Probe
-	outcome Outcome
-	ends    clock.Milli
+	probes []pendingProbe
 }
 
 // modelFlow is a client's flow.
@@ -215,7 +208,7 @@
 // runProbes begins and ends the probes of a daemon. Silent ones take 150 ms.
 func (m *model) runProbes(i int) {
 	n := m.daemons[i]
-	n.probes = slices.DeleteFunc(n.probes, func(p modelProbe) bool {
+	n.probes = slices.DeleteFunc(n.probes, func(p pendingProbe) bool {
 		if p.ends > m.now {
 			return false
 		}
@@ -231,7 +224,7 @@
 		case !h.running:
 			o = Refused
 		}
-		n.probes = append(n.probes, modelProbe{Probe: p, outcome: o, ends: ends})
+		n.probes = append(n.probes, pendingProbe{Probe: p, outcome: o, ends: ends})
 	}
 }
 
--- a/internal/coordination/steer/probe_test.go
+++ b/internal/coordination/steer/probe_test.go
@@ -166,21 +166,28 @@
 	require.Empty(t, h.core.Resets())
 }
 
-// TestSlowLinkOfThisDaemonIsNotSilence guards against open flows that are reset because
-// this daemon's own link was full for longer than a probe waits, while it sent a new
-// configuration to peers: the packets that it forwarded meanwhile had their answers, but
-// only after the probe had ended (FLOW, incident 41).
-func TestSlowLinkOfThisDaemonIsNotSilence(t *testing.T) {
-	h := newHarness(t, target(1, "a"), target(2, "a"))
-	idle := h.openOn(nonIdempotentAddress, "i-000001")
+// newUnanswered returns a harness with an idle flow on i-000001, where another flow's
+// request had no answer and was sent again, and a healthy flow on i-000002.
+func newUnanswered(t *testing.T) (h *harness, idle, healthy *client) {
+	h = newHarness(t, target(1, "a"), target(2, "a"))
+	idle = h.openOn(nonIdempotentAddress, "i-000001")
 	pending := h.openOn(idempotentAddress, "i-000001")
-	healthy := h.openOn(idempotentAddress, "i-000002")
+	healthy = h.openOn(idempotentAddress, "i-000002")
 	h.advance(clock.Second)
 	pending.request()
 	healthy.roundTrip()
 	h.advance(200)
 	pending.retransmit()
 	h.advance(25)
+	return h, idle, healthy
+}
+
+// TestSlowLinkOfThisDaemonIsNotSilence guards against open flows that are reset because
+// this daemon's own link was full for longer than a probe waits, while it sent a new
+// configuration to peers: the packets that it forwarded meanwhile had their answers, but
+// only after the probe had ended (FLOW, incident 41).
+func TestSlowLinkOfThisDaemonIsNotSilence(t *testing.T) {
+	h, idle, healthy := newUnanswered(t)
 	for range 3 {
 		list := h.core.Probes(h.now)
 		healthy.request()
@@ -202,16 +209,7 @@
 // packets of a single probe were lost (FLOW, incident 41).
 func TestOneSilentProbeIsNotEnough(t *testing.T) {
 	for _, second := range []Outcome{Silent, Accepted} {
-		h := newHarness(t, target(1, "a"), target(2, "a"))
-		idle := h.openOn(nonIdempotentAddress, "i-000001")
-		pending := h.openOn(idempotentAddress, "i-000001")
-		healthy := h.openOn(idempotentAddress, "i-000002")
-		h.advance(clock.Second)
-		pending.request()
-		healthy.roundTrip()
-		h.advance(200)
-		pending.retransmit()
-		h.advance(25)
+		h, idle, healthy := newUnanswered(t)
 		healthy.roundTrip()
 		require.Len(t, h.runProbes(Silent, 160), 1)
 		require.Empty(t, h.core.Resets())
@@ -294,16 +292,7 @@
 // this process did not run for the time of a probe, and the probe's end is handled before
 // the tick that notices the stall (FLOW, incident 41).
 func TestProbeThatEndsInAStallProvesNothing(t *testing.T) {
-	h := newHarness(t, target(1, "a"), target(2, "a"))
-	idle := h.openOn(nonIdempotentAddress, "i-000001")
-	pending := h.openOn(idempotentAddress, "i-000001")
-	healthy := h.openOn(idempotentAddress, "i-000002")
-	h.advance(clock.Second)
-	pending.request()
-	healthy.roundTrip()
-	h.advance(200)
-	pending.retransmit()
-	h.advance(25)
+	h, idle, healthy := newUnanswered(t)
 	for range silentProbes {
 		list := h.core.Probes(h.now)
 		require.Len(t, list, 1)
--- a/internal/coordination/steer/silence_test.go
+++ b/internal/coordination/steer/silence_test.go
@@ -29,7 +29,7 @@
 			h.advance(clock.Second)
 			pending.request()
 			// The healthy flows have requests all the time, each answered after service.
-			var list []absentProbe
+			p := newProber(h, silentBut(target(2, "a")))
 			began := h.now
 			for h.now < began+10*clock.Second {
 				for i, c := range healthy {
@@ -43,14 +43,7 @@
 				if at := h.now - began; at == 200 || at == 600 || at == 1400 || at == 3000 {
 					pending.retransmit()
 				}
-				for _, p := range h.core.Probes(h.now) {
-					list = append(list, absentProbe{Probe: p, done: h.now + 150})
-				}
-				for len(list) > 0 && list[0].done <= h.now {
-					list[0].Linked = list[0].Control == target(2, "a").Address
-					h.core.ProbeDone(h.now, list[0].Probe, Silent)
-					list = list[1:]
-				}
+				p.step()
 				h.advance(25)
 			}
 			require.Contains(t, tuplesOf(h.core.Resets()), idle.tuple)
@@ -134,7 +127,7 @@
 			for _, c := range pending {
 				c.request()
 			}
-			var probes []absentProbe
+			p := newProber(h, silentBut(list[n]))
 			for began := h.now; h.now < began+6*clock.Second; {
 				healthy.roundTrip()
 				if at := h.now - began; at == 200 || at == 600 || at == 1400 || at == 3000 || at == 4600 {
@@ -142,13 +135,7 @@
 						c.retransmit()
 					}
 				}
-				for _, p := range h.core.Probes(h.now) {
-					probes = append(probes, absentProbe{Probe: p, done: h.now + 160})
-				}
-				for len(probes) > 0 && probes[0].done <= h.now {
-					h.core.ProbeDone(h.now, probes[0].Probe, Silent)
-					probes = probes[1:]
-				}
+				p.step()
 				h.advance(25)
 				for _, e := range h.core.Resets() {
 					delete(idle, e.Target.ID)
@@ -182,16 +169,10 @@
 			for _, x := range list[:present] {
 				h.core.requestProbe(h.core.byID[x.ID], h.now, true)
 			}
-			var probes []absentProbe
+			p := newProber(h, silentBut(list[n]))
 			for began := h.now; h.now < began+10*clock.Second; {
 				healthy.roundTrip()
-				for _, p := range h.core.Probes(h.now) {
-					probes = append(probes, absentProbe{Probe: p, done: h.now + 160})
-				}
-				for len(probes) > 0 && probes[0].done <= h.now {
-					h.core.ProbeDone(h.now, probes[0].Probe, Silent)
-					probes = probes[1:]
-				}
+				p.step()
 				h.advance(25)
 				if h.now-began == 2*clock.Second {
 					for _, x := range list[present:n] {
--- a/internal/coordination/steer/world_test.go
+++ b/internal/coordination/steer/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -160,3 +161,53 @@
 	h.t.Fatalf("no flow opened on target %q", id)
 	return nil
 }
+
+// prober answers a core's probes as connections would.
+type prober struct {
+	*harness
+	// outcome returns what a connection to a target shows, took how long a probe with
+	// that outcome takes.
+	outcome func(netip.AddrPort) Outcome
+	took    map[Outcome]clock.Milli
+	begun   int
+	pending []pendingProbe
+}
+
+// pendingProbe is a probe that ends at a time.
+type pendingProbe struct {
+	Probe
+	outcome Outcome
+	ends    clock.Milli
+}
+
+// newProber returns a prober. Silent probes take 160 ms, others 5.
+func newProber(h *harness, outcome func(netip.AddrPort) Outcome) *prober {
+	return &prober{harness: h, outcome: outcome, took: map[Outcome]clock.Milli{Accepted: 5, Refused: 5, Silent: 160}}
+}
+
+// silentBut returns outcomes by which all targets but one are silent.
+func silentBut(x fleet.Target) func(netip.AddrPort) Outcome {
+	return func(a netip.AddrPort) Outcome {
+		if a == x.Address {
+			return Accepted
+		}
+		return Silent
+	}
+}
+
+// step begins the probes that are due and ends those that are done.
+func (p *prober) step() {
+	for _, x := range p.core.Probes(p.now) {
+		p.begun++
+		o := p.outcome(x.Address)
+		x.Linked = o == Silent && x.Control.IsValid() && p.outcome(x.Control) == Accepted
+		p.pending = append(p.pending, pendingProbe{Probe: x, outcome: o, ends: p.now + p.took[o]})
+	}
+	p.pending = slices.DeleteFunc(p.pending, func(x pendingProbe) bool {
+		if x.ends > p.now {
+			return false
+		}
+		p.core.ProbeDone(p.now, x.Probe, x.outcome)
+		return true
+	})
+}
