--- a/internal/coordination/steer/silence_test.go
+++ b/internal/coordination/steer/silence_test.go
@@ -187,3 +187,33 @@
 		})
 	}
 }
+
+// TestFullTargetKeepsItsFlows guards against flows of a living target that are reset
+// because the target is full and leaves first packets without an answer (FLOW).
+func TestFullTargetKeepsItsFlows(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	for range 20 {
+		h.openOn(idempotentAddress, "i-000001")
+	}
+	served := h.openOn(nonIdempotentAddress, "i-000002")
+	sent := 0
+	for range 200 {
+		c := h.open(idempotentAddress)
+		if c.target.ID == "i-000002" {
+			c.accept()
+		} else {
+			sent++
+		}
+		h.advance(125)
+		served.roundTrip()
+		h.advance(100)
+		if c.target.ID == "i-000001" {
+			c.retransmitOpen(1)
+		}
+		h.runProbes(Accepted, 5)
+		h.core.ApplyPeerLoads(h.now, "vm-2", "a", []fleet.Load{{Code: h.core.byID["i-000001"].Code, Flows: 9, Misses: 9, FirstMissAge: 600, LastAnswerAge: 20000}}, false)
+	}
+	require.Empty(t, h.core.Resets())
+	require.Positive(t, sent)
+	require.Less(t, sent, 30, "new flows go elsewhere")
+}
--- a/internal/standin/plat/plat.go
+++ b/internal/standin/plat/plat.go
@@ -41,22 +41,6 @@
 	list platform.List
 }
 
-// Fault describes the injected faults.
-type Fault struct {
-	// Down refuses all calls.
-	Down bool
-	// Silent accepts calls without ever answering them.
-	Silent bool
-	// DelayMilliseconds delays every call.
-	DelayMilliseconds int
-	// LoseAnswers is the number of next writes that are executed but not answered.
-	LoseAnswers int
-	// ReadsPerSecond and WritesPerSecond limit the rate of calls; zero means no
-	// limit.
-	ReadsPerSecond  float64
-	WritesPerSecond float64
-}
-
 // Calls counts the calls by outcome.
 type Calls struct {
 	Reads, Writes, Refused int
@@ -137,20 +121,6 @@
 	return p
 }
 
-// SetFault replaces the faults.
-func (p *Platform) SetFault(f Fault) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fault = f
-	p.reads, p.writes = nil, nil
-	if f.ReadsPerSecond > 0 {
-		p.reads = rate.NewLimiter(rate.Limit(f.ReadsPerSecond), int(f.ReadsPerSecond)+1)
-	}
-	if f.WritesPerSecond > 0 {
-		p.writes = rate.NewLimiter(rate.Limit(f.WritesPerSecond), int(f.WritesPerSecond)+1)
-	}
-}
-
 // Compact drops the history, so that watches from an earlier revision fail.
 func (p *Platform) Compact() {
 	p.mu.Lock()
@@ -178,16 +148,6 @@
 	}
 }
 
-func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
-	var f Fault
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	p.SetFault(f)
-	writeJSON(w, http.StatusOK, f)
-}
-
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	control := r.URL.Path == "/fault" || r.URL.Path == "/calls" || r.URL.Path == "/compact"
@@ -198,31 +158,6 @@
 	p.mux.ServeHTTP(w, r)
 }
 
-// admit counts a call and applies the faults that precede its execution. It
-// reports whether the call may go on.
-func (p *Platform) admit(r *http.Request) bool {
-	p.mu.Lock()
-	f := p.fault
-	limit := p.reads
-	if r.Method != http.MethodGet {
-		limit = p.writes
-	}
-	ok := !f.Down && (limit == nil || limit.Allow())
-	if !ok {
-		p.calls.Refused++
-	} else if r.Method == http.MethodGet {
-		p.calls.Reads++
-	} else {
-		p.calls.Writes++
-	}
-	p.mu.Unlock()
-	if f.Silent {
-		<-r.Context().Done()
-	}
-	time.Sleep(time.Duration(f.DelayMilliseconds) * time.Millisecond)
-	return ok
-}
-
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Has(platform.QueryWatch) {
 		p.watch(w, r)
