entry: a test of the log waits until the output has stalled

Change: the test reads a byte of the first line, so that the output stalls within it; what is asked for is unchanged.

--- a/internal/entry/proof_test.go
+++ b/internal/entry/proof_test.go
@@ -76,6 +76,9 @@
 	taken := d.log
 	r, w := io.Pipe()
 	d.log = newAsyncLog(NewLogger(w), "vm-1", d.metrics)
+	require.True(t, d.log.infof("line"))
+	_, err := r.Read(make([]byte, 1)) // the output stalls within this line
+	require.NoError(t, err)
 	for d.log.infof("line") {
 	}
 	now := d.clock.Now()
