--- a/review/lab2/backend.go
+++ b/review/lab2/backend.go
@@ -260,15 +260,6 @@
 	return n
 }
 
-// becomeCold makes the running process cold for a time and writes its entry.
-func (b *backend) becomeCold(d time.Duration) {
-	b.mu.Lock()
-	b.coldFrom = time.Now()
-	b.coldUntil = b.coldFrom.Add(d)
-	b.mu.Unlock()
-	b.lab.store.put("servers", b.id, b.describe())
-}
-
 // coldOpenings returns the opening packets that the running process took while it was
 // last cold.
 func (b *backend) coldOpenings() []opening {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -29,7 +29,6 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(l *lab, trouble bool) (bool, error){
-	"again":   playAgain,
 	"foreign": playForeign,
 	"outage":  playOutage,
 	"stale":   playStale,
