--- a/review/lab2/copies.go
+++ b/review/lab2/copies.go
@@ -17,13 +17,18 @@
 		rounds      = 8
 		maxFlows    = 8
 		downgrade   = 250 * time.Millisecond
-		roomAfter   = 300 * time.Millisecond
+		steps       = 4 // times at which flows end after a change
+		roomEach    = 180 * time.Millisecond
+		flowsEach   = 5
 		holdersEach = maxFlows
 	)
 	held := netip.AddrPortFrom(l.service.Addr(), 8443)
 	manifest := func(version int, service string) time.Time {
 		return l.putManifest(version, 2, 0, route{l.service, service, "idempotent"}, route{held, otherService, "idempotent"})
 	}
+	if trouble {
+		l.maxConns = map[string]int{otherService: maxFlows}
+	}
 	manifest(7, otherService)
 	if err := l.deploy(2, 2, 20); err != nil {
 		return false, err
@@ -53,17 +58,18 @@
 		holders.fill(holdersEach * len(full))
 		time.Sleep(1500 * time.Millisecond)
 		if round == 0 {
-			go l.openFlows(40, stop)
+			go l.openFlows(80, stop)
 		}
 		time.Sleep(time.Second)
 		version := 8 + 2*round
 		l.logf("round %d: the backends of the old service hold %d, %d and %d flows", round+1, full[0].flowsOf(), full[1].flowsOf(), full[2].flowsOf())
 		acked := manifest(version, serviceName)
 		l.logf("version %d is acknowledged: the route of port %d names the new service", version, l.service.Port())
-		time.Sleep(roomAfter)
-		n := holders.stop(len(holders.list) / 2)
-		l.logf("%d flows at the old service end, so that it has room", n)
-		time.Sleep(1200 * time.Millisecond)
+		for range steps {
+			time.Sleep(roomEach)
+			l.logf("%d flows at the old service end, so that it has room", holders.stop(flowsEach))
+		}
+		time.Sleep(900 * time.Millisecond)
 		broken += l.checkDowngrade(acked, downgrade, full)
 		manifest(version+1, otherService)
 		l.logf("version %d is acknowledged: the route names the old service again", version+1)
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -61,6 +62,8 @@
 	requests []*request
 	// synSent holds when the copies of the opening packets were sent.
 	synSent map[synKey]time.Time
+	// maxConns holds the numbers of flows that the backends of services hold, by name.
+	maxConns map[string]int
 }
 
 // synKey names a copy of a flow's opening packet.
@@ -366,6 +369,8 @@
 	return l.putManifest(version, 2, 0, list...)
 }
 
+// putManifest writes a manifest and returns when it was acknowledged. The services'
+// backends hold l.maxConns flows each, by name, or 2,000.
 func (l *lab) putManifest(version int, warmupS, warmupPerS float64, routes ...route) time.Time {
 	list := make([]map[string]any, 0, len(routes))
 	for _, r := range routes {
@@ -376,7 +381,7 @@
 	}
 	var services []map[string]any
 	for _, name := range []string{serviceName, otherService} {
-		services = append(services, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": warmupS, "warmupPerS": warmupPerS})
+		services = append(services, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": cmp.Or(l.maxConns[name], 2000), "protocol": "h1", "tls": false, "warmupS": warmupS, "warmupPerS": warmupPerS})
 	}
 	return l.store.put("config", "main", map[string]any{
 		"version": version, "routes": list, "services": services,
