watch: a back-off ends with the rank that lengthened it

Cause: the back-off after a failed call grows with the square of the daemon's rank, as the first ranks notice the store's return for all, and it was fixed when the call failed: 8 s for rank nine. Change: Reader.Next bounds the back-off by that of the present rank. While the fleet lives, ranks and so calls are as before; a survivor needs no peer to end its wait.

--- a/internal/coordination/watch/cluster_test.go
+++ b/internal/coordination/watch/cluster_test.go
@@ -1,8 +1,10 @@
 package watch
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
@@ -184,6 +186,15 @@
 	}
 }
 
+// loseFirstRanks ends the n daemons that precede all others in the order of ranks.
+func (w *cluster) loseFirstRanks(n int) {
+	byScore := slices.Clone(w.daemons)
+	slices.SortFunc(byScore, func(x, y *daemon) int { return cmp.Compare(x.peers.score, y.peers.score) })
+	for _, d := range byScore[:n] {
+		d.dead = true
+	}
+}
+
 // oldestAge returns the greatest age at any live daemon.
 func (w *cluster) oldestAge() clock.Milli {
 	age := clock.Milli(0)
--- a/internal/coordination/watch/progress.go
+++ b/internal/coordination/watch/progress.go
@@ -21,9 +21,7 @@
 	r.RecordEra(now, rev.Era())
 	switch o {
 	case Failed:
-		// The back-off grows with rank, so that the first ranks notice the end
-		// of an outage for all and the others make few calls.
-		factor := 1 + clock.Milli(min(r.rank, maxBackoffRank))
+		factor := r.backoffFactor()
 		r.backoff = min(maxBackoff*factor, max(initialBackoff*factor*factor, 2*r.backoff))
 		return
 	case HistoryLost:
@@ -55,6 +53,18 @@
 	}
 }
 
+// backoffFactor returns the factor by which back-offs are longer than those of the first
+// rank. It grows with rank, so that the first ranks notice the end of an outage for all
+// and the others make few calls.
+func (r *Reader) backoffFactor() clock.Milli { return 1 + clock.Milli(min(r.rank, maxBackoffRank)) }
+
+// backoffEnd returns the time before which no call follows the last one. The back-off is
+// never longer than that of the rank that this daemon has now: those that were to notice
+// the end of an outage for it may be lost.
+func (r *Reader) backoffEnd() clock.Milli {
+	return r.lastDone + min(r.backoff, maxBackoff*r.backoffFactor())
+}
+
 // adaptTimeout sets the next call's time limit after a call that took the given time.
 func (r *Reader) adaptTimeout(took clock.Milli, c Call, o Outcome) {
 	switch {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -308,7 +308,7 @@
 // Done.
 func (r *Reader) Next(now clock.Milli) (Call, bool) {
 	r.noteClaim(now)
-	if r.inFlight || now < r.lastDone+r.backoff {
+	if r.inFlight || now < r.backoffEnd() {
 		return Call{}, false
 	}
 	c, ok := r.nextCall(now)
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -339,6 +339,36 @@
 	require.False(t, r.NeedsSnapshot(now+2500, fleet.Targets))
 }
 
+// TestLostRanksEndBackoff guards against a daemon that sits out the long back-off of its
+// old rank after all daemons before it were lost: nobody is left to tell it that the store
+// is back, and drops of routes, outs and drains came into force up to 8 s late (CONFIG).
+func TestLostRanksEndBackoff(t *testing.T) {
+	for _, n := range []int{3, 10, 70} {
+		for _, left := range []int{1, 2, 5} {
+			if left >= n {
+				continue
+			}
+			for _, outage := range []clock.Milli{1500, 3200, 8000} {
+				t.Run(fmt.Sprintf("%d of %d daemons left after %d ms", left, n, outage), func(t *testing.T) {
+					w := newCluster(n)
+					w.run(8 * clock.Second)
+					w.store.refuses = true
+					w.run(outage - 300)
+					w.loseFirstRanks(n - left)
+					w.run(300)
+					w.store.refuses = false
+					w.run(bound)
+					w.store.rev += 5
+					for range 20 {
+						w.run(250)
+						require.Less(t, w.oldestAge(), bound)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Clients wait and no peer answers, so the first list must not wait longer than a seed
 // takes to answer.
 func TestEndAwaitEndsWait(t *testing.T) {
