entry, steer: a daemon that starts by old lists takes any target for cold

Cause: the first lists of the store may be seconds old. They are confirmed by a peer, or by a current list after half a second; until then the daemon believed what they say of cold targets. Change: until the targets are confirmed in time after a start, each of a pool with a rate counts as cold for the warm-up from when the deployment was known. First packets beyond the rate are held and decided by the confirmed view, which now comes before the release of held packets. No call of the store is added; pools without a rate are as before.

--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -45,6 +45,13 @@
 // Doubtful reports whether that is set.
 func (c *Core) Doubtful() bool { return c.doubtful }
 
+// SetUnconfirmed sets whether the store has not confirmed the targets in time since this
+// process started. Then any target may have been restarted before this daemon learned of it.
+func (c *Core) SetUnconfirmed(unconfirmed bool) { c.unconfirmed = unconfirmed }
+
+// Unconfirmed reports whether that is set.
+func (c *Core) Unconfirmed() bool { return c.unconfirmed }
+
 // rateShare returns this daemon's share of a cold target's rate.
 func (c *Core) rateShare(t *Target) float64 {
 	if c.admitter(t.Code) {
@@ -53,17 +60,28 @@
 	return (1 - admitterShare) / float64(max(1, c.sharers))
 }
 
-// coldLeft returns how much longer a target is cold: after its start, and after
-// its data centre was put back in.
+// coldLeft returns how much longer a target is cold, or may be: after its start, after
+// its data centre was put back in, and after starts that this daemon can't know of.
 func (c *Core) coldLeft(now clock.Milli, t *Target) clock.Milli {
 	if c.doubtful {
 		return 1
 	}
 	left := t.ColdLeft - (now - t.reportedAt)
-	if out, at := c.replica.Out(t.DataCentre); !out && at != clock.Never {
-		if p := c.pools[t.Pool]; p != nil {
-			left = max(left, p.Warmup-(now-at))
-		}
+	if out, at := c.replica.Out(t.DataCentre); !out {
+		left = max(left, c.warmupLeft(now, t, at))
+	}
+	if c.unconfirmed {
+		left = max(left, c.warmupLeft(now, t, c.knownAt))
 	}
 	return left
 }
+
+// warmupLeft returns what is left of the warm-up of a target that became cold at the given
+// time at the latest, zero if that is clock.Never.
+func (c *Core) warmupLeft(now clock.Milli, t *Target, coldAt clock.Milli) clock.Milli {
+	p := c.pools[t.Pool]
+	if p == nil || coldAt == clock.Never {
+		return 0
+	}
+	return p.Warmup - (now - coldAt)
+}
--- a/internal/coordination/steer/cold_test.go
+++ b/internal/coordination/steer/cold_test.go
@@ -64,3 +64,31 @@
 	h.core.SetDoubtful(false)
 	require.Len(t, h.countOpens(50), 2)
 }
+
+// TestUnconfirmedTargetsAreColdForTheirWarmUp guards against a store that confirms nothing
+// after a start, so that warm targets count as cold for good; first packets beyond the rate
+// are held, as the store may tell soon which targets are cold (FAILBACK).
+func TestUnconfirmedTargetsAreColdForTheirWarmUp(t *testing.T) {
+	const warmup = 3 * clock.Second
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	tab := table()
+	tab.Rev, tab.Pools[0].ColdRate, tab.Pools[0].Warmup = 2000, coldRate, warmup
+	h.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: 2000, Table: tab})
+	h.core.SetAdmitter(func(fleet.Code) bool { return false }, 7, 7)
+	h.core.SetUnconfirmed(true)
+	opened, held := 0, 0
+	for i := range 50 {
+		s := flow.Segment{Open: true, Tuple: flow.Tuple{ServiceAddress: idempotentAddress.Addr().As4(), ServicePort: idempotentAddress.Port(), ClientPort: uint16(5000 + i)}}
+		switch v := h.core.Decide(h.now, &s, true); v.Action {
+		case Deliver:
+			opened++
+		case Hold:
+			require.Equal(t, ColdBudget, v.Reason)
+			held++
+		}
+	}
+	require.LessOrEqual(t, opened, 2)
+	require.Equal(t, 50, opened+held)
+	h.advance(warmup + 25)
+	require.Len(t, h.countOpens(50), 2)
+}
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -99,8 +99,12 @@
 }
 
 // refuse rejects a flow that no target can take. It drops the packet instead if
-// the view is not fresh or only the cold budget is used up, as both may pass.
+// the view is not fresh or only the cold budget is used up, as both may pass, and holds it
+// if the store is still to tell which targets are cold.
 func (c *Core) refuse(route *Route, reason Reason, fresh bool) Verdict {
+	if reason == ColdBudget && c.unconfirmed {
+		return Verdict{Action: Hold, Reason: reason, Route: route}
+	}
 	if !fresh || reason == ColdBudget {
 		return Verdict{Reason: reason, Route: route}
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -41,7 +41,8 @@
 	Deliver
 	// Reset ends the flow at once.
 	Reset
-	// Hold keeps the packet until the daemon knows the deployment.
+	// Hold keeps the packet until the daemon knows the deployment, or which of its targets
+	// are cold.
 	Hold
 	// Queue keeps the packet until Releases or Discarded returns its flow.
 	Queue
@@ -223,7 +224,11 @@
 	members       int
 	place         Place
 	sharers       int
-	doubtful      bool
+	// doubtful is set by SetDoubtful, unconfirmed by SetUnconfirmed. knownAt is when this
+	// daemon knew the deployment for the first time, Never before.
+	doubtful    bool
+	unconfirmed bool
+	knownAt     clock.Milli
 	// targetsConfirmed is when the targets were last confirmed by the store.
 	targetsConfirmed clock.Milli
 	admitter         func(fleet.Code) bool
@@ -338,6 +343,7 @@
 		peers:              make(map[schema.VMID]*peerLoads),
 		admitter:           func(fleet.Code) bool { return true },
 		targetsConfirmed:   math.MaxInt64, // each update is applied as it happens, unless told otherwise
+		knownAt:            clock.Never,
 		storeFailedAt:      clock.Never,
 		lastScan:           clock.Never,
 		latenciesCompared:  clock.Never,
@@ -383,6 +389,9 @@
 	if ch.Changed {
 		c.compile(now, ch.Targets)
 	}
+	if c.knownAt == clock.Never && c.KnowsDeployment() {
+		c.knownAt = now
+	}
 	return ch.Changed
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,6 +183,7 @@
 		queued:             packetQueue{flows: make(map[flow.Tuple][]queuedPacket)},
 		store:              object.NewClient("http://" + cfg.Store.String()),
 	}
+	d.core.SetUnconfirmed(true)
 	d.sendToPeer, d.deliver, d.reset = d.send, d.sendToTarget, d.sendReset
 	d.metrics = newInstruments(d)
 	d.log = newAsyncLog(log, string(cfg.ID), d.metrics)
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -10,12 +10,12 @@
 
 const (
 	// maxHeldPackets is the maximum number of packets that wait until the
-	// daemon knows the deployment, maxHoldTime how long one may wait.
+	// daemon knows the deployment and its cold targets, maxHoldTime how long one may wait.
 	maxHeldPackets = 256
 	maxHoldTime    = 700 * clock.Milli(1)
 )
 
-// heldPacket is a packet that arrived before the daemon knew the deployment.
+// heldPacket is a packet that arrived before the daemon knew enough to decide on it.
 type heldPacket struct {
 	at      clock.Milli
 	data    []byte
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -52,6 +52,9 @@
 	d.notePause(now)
 	d.lastTick = now
 	d.endDoubt(now)
+	if d.endUnconfirmed(now) {
+		d.releaseHeld(now)
+	}
 	d.core.Tick(now)
 	d.endKept(now)
 	d.forwardReleased(d.core.Releases(now))
@@ -142,6 +145,16 @@
 	}
 }
 
+// endUnconfirmed ends the doubt of a start once the store, or a peer that has read it,
+// confirms the targets. It reports whether that is so from now on. The caller holds d.mu.
+func (d *Daemon) endUnconfirmed(now clock.Milli) bool {
+	if !d.core.Unconfirmed() || !d.reader.Fresh(now, fleet.Targets) {
+		return false
+	}
+	d.core.SetUnconfirmed(false)
+	return true
+}
+
 // isReady reports whether the fabric should send packets to this daemon. The
 // caller holds d.mu.
 func (d *Daemon) isReady() bool {
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -160,6 +160,8 @@
 		d.adoptProof(u.Topic, proofOf(p.began, u.Proved, proofAge), p.from.String())
 	}
 	d.reader.Advance(u.Topic, u.Rev, confirmed)
+	d.endUnconfirmed(d.clock.Now())
+	d.releaseHeld(d.clock.Now())
 }
 
 // pullHandler serves pulls. The query has the requester's revision of each
--- a/internal/entry/sim_test.go
+++ b/internal/entry/sim_test.go
@@ -54,6 +54,16 @@
 	// routes and pools are those of the configuration.
 	routes []fleet.Route
 	pools  []fleet.Pool
+	// old holds the answers to stale lists, if set by keepLists.
+	old map[fleet.Topic]*fleet.Update
+}
+
+// keepLists makes stale lists show what the store holds now, whatever comes later.
+func (s *simStore) keepLists() {
+	s.old = make(map[fleet.Topic]*fleet.Update)
+	for t := range fleet.Topics {
+		s.old[t] = s.list(t)
+	}
 }
 
 // put writes a target's entry.
@@ -155,6 +165,10 @@
 	if s.down || lasted < s.latency {
 		return nil, nil
 	}
+	if c.List && c.Stale && s.old != nil {
+		u := *s.old[c.Topic]
+		return &u, nil
+	}
 	if c.List {
 		u := s.list(c.Topic)
 		if !c.Stale {
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -72,6 +72,8 @@
 	if outcome == watch.Read {
 		d.noteStoreSuccess(now)
 	}
+	d.endUnconfirmed(now)
+	d.releaseHeld(now) // even if nothing changed: an empty list can make the deployment known
 	return d.reader.Next(now)
 }
 
@@ -119,15 +121,14 @@
 	}
 }
 
-// apply applies an update of a topic that came from the store or a peer. The
-// caller holds d.mu.
+// apply applies an update of a topic that came from the store or a peer. The reader is
+// told next; releaseHeld comes after that. The caller holds d.mu.
 func (d *Daemon) apply(now clock.Milli, u *fleet.Update, from string) {
 	before, _ := d.configVersion()
 	d.core.SetTargetsConfirmed(now - d.reader.Age(now, fleet.Targets))
 	changed := d.core.Apply(now, u)
 	d.noteLearned(now, from)
 	d.logKept()
-	d.releaseHeld(now) // even if nothing changed: an empty list can make the deployment known
 	if !changed {
 		return
 	}
