steer: a copy of a first packet goes where the route leads now

Cause: openRepeated sends a copy to the target of the first packet as long as that target takes new flows, and did not ask whether the route still names its pool. Change: the target must be of one of the route's pools; otherwise the copy is handled as after a drain.

--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"slices"
+
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/flow"
 )
@@ -14,6 +16,11 @@
 	return !out
 }
 
+// uses reports whether new flows of a route may go to a target's pool.
+func (r *Route) uses(t *Target) bool {
+	return slices.ContainsFunc(r.pools, func(p *pool) bool { return p.Name == t.Pool })
+}
+
 // NoLocalTarget reports whether no target in this data centre gets new flows.
 func (c *Core) NoLocalTarget(now clock.Milli) bool {
 	for _, t := range c.targets {
--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -65,21 +65,23 @@
 }
 
 // openRepeated handles a retransmission of a flow's first packet. It goes to the
-// same target as the first copy, unless that target is avoided by now.
+// same target as the first copy, unless that target is avoided by now or no longer one of
+// the route's.
 func (c *Core) openRepeated(now clock.Milli, s *flow.Segment, route *Route, r *flowRecord) Verdict {
 	r.lastPacket = now
 	t := r.target
 	if r.openedAt != 0 && !r.missConfirmed && now-r.openedAt >= openAnswerTimeout {
 		c.recordMiss(now, r, r.openedAt)
 	}
-	if r.openedAt == 0 || c.acceptsNew(now, t) && !c.avoids(now, t) {
+	takes := route.uses(t) && c.acceptsNew(now, t)
+	if r.openedAt == 0 || takes && !c.avoids(now, t) {
 		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
 	}
 	other, _ := c.choose(now, route, s, t)
 	switch {
 	case other != nil:
 		return c.openTo(now, s, route, other, CopyOfOpen)
-	case !c.acceptsNew(now, t):
+	case !takes:
 		return Verdict{Reason: CopyOfOpen, Route: route} // not reset: t may have accepted the first copy
 	}
 	return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
--- a/internal/coordination/steer/reuse_test.go
+++ b/internal/coordination/steer/reuse_test.go
@@ -53,6 +53,45 @@
 	require.Equal(t, map[schema.TargetID]int{"i-000003": 20}, h.countOpens(20))
 }
 
+// TestCopyOfFirstPacketFollowsItsRoute guards against copies of a first packet that go to
+// the target of the first one although the route names another pool by then, so that the
+// daemon falls back to an older version of the configuration (CONFIG).
+func TestCopyOfFirstPacketFollowsItsRoute(t *testing.T) {
+	moved := func(h *harness, pool schema.Name) {
+		tab := table()
+		h.rev++
+		tab.Rev, tab.Version = h.rev, int64(h.rev)
+		for i := range tab.Routes {
+			tab.Routes[i].Pools = []fleet.Share{{Pool: pool, Weight: 1}}
+		}
+		h.apply(fleet.Update{Topic: fleet.Config, Since: h.core.Replica().Rev(fleet.Config), Rev: h.rev, Table: tab})
+	}
+	other := target(2, "a")
+	other.Pool = "back"
+	for _, waits := range []clock.Milli{20, 200, 600, 1400} {
+		h := newHarness(t, target(1, "a"), other)
+		c := h.open(nonIdempotentAddress)
+		require.Equal(t, schema.TargetID("i-000001"), c.target.ID)
+		h.advance(waits)
+		moved(h, "back")
+		for n := range uint32(2) {
+			v := c.retransmitOpen(n + 1)
+			require.Equal(t, Deliver, v.Action)
+			require.Equal(t, other.ID, v.Target.ID, "copy %d, %d ms after the first packet", n+1, waits)
+			h.advance(100)
+		}
+		moved(h, "desk")
+		require.Equal(t, schema.TargetID("i-000001"), c.retransmitOpen(3).Target.ID, "the route names the first pool again")
+		moved(h, "none")
+		require.Equal(t, Drop, c.retransmitOpen(4).Action, "a target may have accepted an earlier copy")
+	}
+	h := newHarness(t, target(1, "a"), other)
+	c := h.open(nonIdempotentAddress).accept()
+	moved(h, "back")
+	require.Equal(t, Deliver, c.request().Action)
+	require.Equal(t, schema.TargetID("i-000001"), c.request().Target.ID, "an open flow stays where it is")
+}
+
 // A copy of a flow's first packet arrives after the flow was closed. A target that has
 // forgotten the flow would accept it again, and run a late copy of its request again,
 // as the soak's targets did with seed 1203.
