steer: a target that was lost comes back cold unless the store tells more

Cause: a target was cold by its last known entry alone. The daemons had found connections refused, which shows that the process had ended, and forgot it with the first answer. Change: a target that refused a connection or was proved silent, here or at a peer, counts as cold for its pool's warm-up from its next answer. The entry of a new start ends that; for silence so does a store that has confirmed the targets for 2.5 s without a gap. First packets without an answer alone are no loss, as full targets leave them too. No message and no call is added; a daemon looks at the lost targets once a tick.

--- a/internal/coordination/steer/belief.go
+++ b/internal/coordination/steer/belief.go
@@ -101,6 +101,9 @@
 	if left := c.coldLeft(now, t); left > 0 {
 		add("cold for another %d ms", left)
 	}
+	if l := &t.loss; l.at != 0 {
+		add("may have started anew: last lost %d ms ago, refused connections: %t, answers again: %t", now-l.at, l.refused, l.backAt != clock.Never)
+	}
 	misses, _ := t.answers.missesSince(t.answers.lastAnswerAnywhere(), false)
 	confirmed, _ := t.answers.missesSince(t.answers.lastAnswerAnywhere(), true)
 	if reports := t.answers.peers; misses+reports.reporters > 0 {
--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -73,6 +73,9 @@
 	if c.unconfirmed {
 		left = max(left, c.warmupLeft(now, t, c.knownAt))
 	}
+	if t.loss.at != 0 {
+		left = max(left, c.lossWarmupLeft(now, t))
+	}
 	return left
 }
 
--- a/internal/coordination/steer/probe.go
+++ b/internal/coordination/steer/probe.go
@@ -237,6 +237,9 @@
 	p.active = false
 	p.lastOutcome, p.lastDone = o, now
 	was := p.dead
+	if o == Refused {
+		c.recordLoss(t, r.Began, true)
+	}
 	switch {
 	case o == Accepted:
 		p.forget()
@@ -297,6 +300,7 @@
 	}
 	t.probe.dead = true
 	c.foundLost = c.foundLost || t.gone
+	c.recordLoss(t, now, false)
 	c.addSuspect(t)
 	c.reportDead(now, t)
 }
@@ -337,6 +341,7 @@
 		if t == nil || t.gone || now-at > deadReportTTL || t.answers.lastAnswerAnywhere() >= at {
 			continue
 		}
+		c.recordLoss(t, at, false)
 		if p := &t.probe; p.reportedAt == 0 || at > p.reportedAt+deadReportTTL {
 			p.reportedAt, p.reportsLeft = at, deadReportCount
 			c.deadReports = append(c.deadReports, t)
--- a/internal/coordination/steer/scan.go
+++ b/internal/coordination/steer/scan.go
@@ -28,6 +28,7 @@
 		c.sumPeerLoads(now)
 	}
 	c.evaluateTargets(now)
+	c.updateLost(now)
 	c.resetUnresponsive(now)
 	c.askAbsentTargets(now)
 	if c.foundLost {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -159,6 +159,7 @@
 	// goneRev is the revision by which the entry was removed or replaced.
 	goneRev    schema.Version
 	unanswered unansweredStats
+	loss       loss
 }
 
 // Route is a route with its pools resolved. total is the sum of their weights.
@@ -229,8 +230,10 @@
 	doubtful    bool
 	unconfirmed bool
 	knownAt     clock.Milli
-	// targetsConfirmed is when the targets were last confirmed by the store.
+	// targetsConfirmed is when the targets were last confirmed by the store, storeRegainedAt
+	// when they were confirmed after a time without.
 	targetsConfirmed clock.Milli
+	storeRegainedAt  clock.Milli
 	admitter         func(fleet.Code) bool
 	// storeFailedAt is when a read of the store last failed, here or at a peer.
 	storeFailedAt clock.Milli
@@ -274,6 +277,10 @@
 	activeProbes   int
 	activeReprobes int
 	deadReports    []*Target
+	// lost are the targets that were lost and may be new starts, restarts what Restarts
+	// has not returned yet.
+	lost     []*Target
+	restarts []Restart
 	// answering are the targets that last answered this daemon, the latest first.
 	answering [2]*Target
 	// unresponsiveDCs holds the data centres whose targets answer nobody,
@@ -345,6 +352,7 @@
 		targetsConfirmed:   math.MaxInt64, // each update is applied as it happens, unless told otherwise
 		knownAt:            clock.Never,
 		storeFailedAt:      clock.Never,
+		storeRegainedAt:    clock.Never,
 		lastScan:           clock.Never,
 		latenciesCompared:  clock.Never,
 		windowBegan:        clock.Never,
@@ -406,8 +414,13 @@
 }
 
 // SetTargetsConfirmed sets when the targets were last confirmed by the store. It must
-// be called before Apply.
-func (c *Core) SetTargetsConfirmed(at clock.Milli) { c.targetsConfirmed = at }
+// be called before Apply and before Tick.
+func (c *Core) SetTargetsConfirmed(at clock.Milli) {
+	if at-c.targetsConfirmed > confirmationGap {
+		c.storeRegainedAt = at
+	}
+	c.targetsConfirmed = at
+}
 
 // RecordStoreFailure records that a read of the store failed, here or at a peer.
 // Entries that vanish around that time may come back.
--- a/internal/entry/cold_test.go
+++ b/internal/entry/cold_test.go
@@ -91,10 +91,9 @@
 	}
 }
 
-// mostInSecond returns the greatest number of flows that a target got in a second.
-func (x *coldSim) mostInSecond(id schema.TargetID) int {
+// mostInSecond returns the greatest number of times within a second.
+func mostInSecond(list []clock.Milli) int {
 	most := 0
-	list := x.openedAt[id]
 	for i, first := range list {
 		n := 0
 		for _, at := range list[i:] {
@@ -132,9 +131,95 @@
 			x.restart(1, coldWarmup)
 			x.startAll()
 			x.run(2*clock.Second, x.open)
-			require.LessOrEqual(t, float64(x.mostInSecond(targetID(1))), coldBound)
+			require.LessOrEqual(t, float64(mostInSecond(x.openedAt[targetID(1)])), coldBound)
 			const lastSecond = int(clock.Second/simStep) * coldOpens
 			require.GreaterOrEqual(t, x.openedSince(x.now-clock.Second), lastSecond*9/10, "the warm targets are used")
 		})
 	}
 }
+
+// newShortFlowSim returns a fleet before pools whose cold targets are limited, and clients
+// that open a flow for each request.
+func newShortFlowSim(t *testing.T, x fleetSize, seed uint64) *flowSim {
+	f := newFlowSim(t, x, seed)
+	for i := range f.store.pools {
+		f.store.pools[i].Warmup, f.store.pools[i].ColdRate = coldWarmup, coldRate
+	}
+	f.store.configure()
+	f.shortFlows = true
+	f.run(4 * clock.Second)
+	return f
+}
+
+// outageRestart is a case of targets that are lost and start again under their IDs while the
+// store is down.
+type outageRestart struct {
+	name          string
+	size          fleetSize
+	crashAt, away clock.Milli
+	outage        clock.Milli
+	crashed       int
+	// dark has the targets' VMs lose power, daemon restarts one daemon meanwhile.
+	dark, daemon bool
+}
+
+// play plays a case. The targets may get few flows while they are cold, and get their usual
+// share some time after the store's return.
+func (x *outageRestart) play(t *testing.T, seed uint64) {
+	f := newShortFlowSim(t, x.size, seed)
+	f.takeStoreDown(x.outage)
+	if x.daemon {
+		f.restart(1)
+	}
+	f.run(x.crashAt)
+	list := f.some(x.crashed)
+	for _, y := range list {
+		f.end(y, x.dark, false)
+	}
+	f.run(x.away)
+	for _, y := range list {
+		f.startAgain(y, coldWarmup)
+	}
+	f.run(coldWarmup)
+	for _, y := range list {
+		require.LessOrEqual(t, float64(mostInSecond(y.openedAt)), coldBound, y.entry.ID)
+	}
+	f.run(3*clock.Second + x.outage)
+	for _, y := range list {
+		require.Greater(t, mostInSecond(y.openedAt), int(2*coldBound), "%s is used again", y.entry.ID)
+	}
+}
+
+// TestRestartsDuringOutageAreCold guards against targets that crash and start again under
+// their IDs while the store is down, and are taken for the warm processes that they were
+// (FAILBACK).
+func TestRestartsDuringOutageAreCold(t *testing.T) {
+	for _, size := range []fleetSize{smallFleet, middleFleet, largeFleet} {
+		for _, x := range []outageRestart{
+			{name: "back soon", crashAt: 200, away: 700, outage: 5500, crashed: 2},
+			{name: "away for long", crashAt: 500, away: 4500, outage: 8000, crashed: 3},
+			{name: "back just before the store", crashAt: 3000, away: 2000, outage: 5200, crashed: 2},
+			{name: "a daemon restarts meanwhile", crashAt: 500, away: 1500, outage: 9000, crashed: 2, daemon: true},
+		} {
+			x.size = size
+			t.Run(fmt.Sprintf("%s, %s", size, x.name), func(t *testing.T) {
+				t.Parallel()
+				x.play(t, 52)
+			})
+		}
+	}
+}
+
+// TestPowerLossesDuringOutageAreCold guards against the same for targets whose VMs lose
+// power, so that nothing refuses a connection (FAILBACK).
+func TestPowerLossesDuringOutageAreCold(t *testing.T) {
+	for _, size := range []fleetSize{smallFleet, middleFleet} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s, seed %d", size, 53+seed), func(t *testing.T) {
+				t.Parallel()
+				x := outageRestart{size: size, crashAt: 500, away: 2500, outage: 8000, crashed: 2, dark: true}
+				x.play(t, 53+seed)
+			})
+		}
+	}
+}
--- a/internal/entry/flowclient_test.go
+++ b/internal/entry/flowclient_test.go
@@ -8,6 +8,7 @@
 
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/coordination/steer"
+	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
 	"coltsfootdock/pkg/schema"
 )
@@ -17,6 +18,8 @@
 	index  int
 	tuple  flow.Tuple
 	cookie uint32
+	// code is that of the target when a daemon sent it the first packet.
+	code   fleet.Code
 	seq    uint32
 	ack    uint32
 	target *simTarget
@@ -93,11 +96,12 @@
 	isOpen, seq, n := len(b) > 10, binary.BigEndian.Uint32(b[4:]), binary.BigEndian.Uint16(b[8:])
 	switch {
 	case isOpen && x.target == nil:
-		x.target, x.answerAt = h, f.now+simStep
+		x.target, x.code, x.answerAt = h, t.Code, f.now+simStep
 		h.held[x.tuple] = true
+		h.openedAt = append(h.openedAt, f.now)
 	case isOpen || n == 0 || x.target != h || !h.held[x.tuple]:
 	case x.state == waiting && seq == x.seq && x.answerAt == 0:
-		x.answerAt, x.closes = f.now+simStep, h.entry.Draining
+		x.answerAt, x.closes = f.now+simStep, h.entry.Draining || f.shortFlows
 	}
 }
 
@@ -155,7 +159,7 @@
 func (f *flowSim) answer(x *simFlow) {
 	x.answerAt = 0
 	if x.state == opening {
-		x.cookie = uint32(x.target.entry.Code())
+		x.cookie = uint32(x.code)
 		x.seq++
 	} else {
 		x.seq += requestLen
@@ -163,7 +167,9 @@
 	}
 	x.state = resting
 	x.nextAt = f.now + f.between(x.pace*8/10, x.pace*12/10)
-	if x.idle {
+	if f.shortFlows {
+		x.nextAt = f.now
+	} else if x.idle {
 		x.nextAt = f.now + f.between(5000, 20000)
 	}
 	f.send(x, flow.Segment{Close: x.closes})
--- a/internal/entry/flowsim_test.go
+++ b/internal/entry/flowsim_test.go
@@ -65,6 +65,9 @@
 	leaveAt clock.Milli
 	// death is set once the process ended.
 	death *simDeath
+	// coldUntil is until when the process is cold, openedAt when it took flows.
+	coldUntil clock.Milli
+	openedAt  []clock.Milli
 }
 
 // simDeath is the end of a target that held flows.
@@ -123,6 +126,8 @@
 	wrong     []wrongReset
 	// order holds the targets that some has not returned yet.
 	order []*simTarget
+	// shortFlows makes clients close a flow after its first request.
+	shortFlows bool
 }
 
 // simTimer is something to do at a time.
@@ -263,7 +268,7 @@
 		if x.leaveAt != 0 && f.now >= x.leaveAt {
 			f.end(x, false, true)
 		}
-		if x.registered && f.now-x.written > lapseBeats*heartbeat {
+		if x.registered && !f.store.down && f.now-x.written > lapseBeats*heartbeat {
 			f.unregister(x)
 		}
 	}
@@ -290,8 +295,9 @@
 	if x.entry.Draining && x.leaveAt == 0 {
 		x.leaveAt = f.now + x.stays
 	}
-	if old := f.store.targets[x.entry.ID]; !x.registered || old.Draining != x.entry.Draining {
+	if old := f.store.targets[x.entry.ID]; !x.registered || old.Draining != x.entry.Draining || old.StartedAt != x.entry.StartedAt {
 		x.registered = true
+		x.entry.ColdLeft = max(0, x.coldUntil-f.now)
 		f.store.write(x.entry)
 	}
 }
@@ -327,6 +333,30 @@
 	}
 }
 
+// startAgain starts a target's process again under its ID. It is cold for a time.
+func (f *flowSim) startAgain(x *simTarget, cold clock.Milli) {
+	for _, y := range f.flows {
+		if y.target == x && y.state != over {
+			f.finish(y) // its next packet gets a reset
+		}
+	}
+	x.running, x.dark, x.held, x.openedAt = true, false, make(map[flow.Tuple]bool), nil
+	x.coldUntil, x.beatAt, x.entry.StartedAt = f.now+cold, f.now, int64(f.now)
+}
+
+// takeStoreDown has the store answer nothing and take no writes for a time. It keeps the
+// entries meanwhile.
+func (f *flowSim) takeStoreDown(d clock.Milli) {
+	f.store.down, f.store.timeouts = true, true
+	f.fault = storeFault{from: f.now, until: f.now + d, share: 1}
+	f.after(d, func() {
+		f.store.down = false
+		for _, x := range f.targets {
+			x.written = f.now
+		}
+	})
+}
+
 // drain has a target say that it leaves, and leave some time after the store took that.
 func (f *flowSim) drain(x *simTarget, stays clock.Milli) {
 	x.entry.Draining, x.beatAt, x.stays = true, f.now, stays
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -55,6 +55,7 @@
 	if d.endUnconfirmed(now) {
 		d.releaseHeld(now)
 	}
+	d.core.SetTargetsConfirmed(now - d.reader.Age(now, fleet.Targets))
 	d.core.Tick(now)
 	d.endKept(now)
 	d.forwardReleased(d.core.Releases(now))
@@ -76,6 +77,10 @@
 	for _, p := range d.core.WithholdingChanges() {
 		d.log.sampledf("pace: target=%s withheld=%t unanswered=%d requests=%d usual=%.3f", p.ID, p.Withheld, p.Unanswered, p.Requests, p.Usual)
 	}
+	for _, p := range d.core.Restarts() {
+		d.metrics.restartsSuspected.Inc()
+		d.log.sampledf("restart: target=%s may have started anew: refused=%t away=%dms cold=%dms", p.ID, p.Refused, p.Away, p.Cold)
+	}
 	for _, p := range d.core.PathChanges() {
 		d.log.sampledf("path: dc=%s broken=%t misses=%d targets=%d", p.DataCentre, p.Broken, p.Misses, p.Targets)
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,9 +26,12 @@
 	badPeerMessages *metrics.Counter
 	peerSentBytes   *metrics.Counter
 	idleFlowsEnded  *metrics.Counter
-	probes          [steer.Outcomes]*metrics.Counter
-	openFlowsReset  map[steer.ProofKind]*metrics.Counter
-	omittedLines    *metrics.Counter
+	// restartsSuspected counts the targets that answered again after a loss and were taken
+	// for cold.
+	restartsSuspected *metrics.Counter
+	probes            [steer.Outcomes]*metrics.Counter
+	openFlowsReset    map[steer.ProofKind]*metrics.Counter
+	omittedLines      *metrics.Counter
 	// viewsDiffer counts the summaries of peers that hold other objects of a topic
 	// at the same revision.
 	viewsDiffer [fleet.Topics]*metrics.Counter
@@ -42,17 +45,18 @@
 func newInstruments(d *Daemon) *instruments {
 	s := metrics.NewSet()
 	m := &instruments{
-		set:             s,
-		storeFailed:     s.NewCounter("coltsfootdock_store_failed_total"),
-		malformed:       s.NewCounter("coltsfootdock_malformed_total"),
-		unsent:          s.NewCounter("coltsfootdock_unsent_total"),
-		badObjects:      s.NewCounter("coltsfootdock_bad_objects_total"),
-		badPeerMessages: s.NewCounter("coltsfootdock_peer_bad_total"),
-		peerSentBytes:   s.NewCounter("coltsfootdock_peer_sent_bytes_total"),
-		idleFlowsEnded:  s.NewCounter("coltsfootdock_idle_flows_ended_total"),
-		omittedLines:    s.NewCounter("coltsfootdock_log_lines_omitted_total"),
-		queueFull:       s.NewCounter("coltsfootdock_queue_full_total"),
-		openFlowsReset:  make(map[steer.ProofKind]*metrics.Counter),
+		set:               s,
+		storeFailed:       s.NewCounter("coltsfootdock_store_failed_total"),
+		malformed:         s.NewCounter("coltsfootdock_malformed_total"),
+		unsent:            s.NewCounter("coltsfootdock_unsent_total"),
+		badObjects:        s.NewCounter("coltsfootdock_bad_objects_total"),
+		badPeerMessages:   s.NewCounter("coltsfootdock_peer_bad_total"),
+		peerSentBytes:     s.NewCounter("coltsfootdock_peer_sent_bytes_total"),
+		idleFlowsEnded:    s.NewCounter("coltsfootdock_idle_flows_ended_total"),
+		restartsSuspected: s.NewCounter("coltsfootdock_restarts_suspected_total"),
+		omittedLines:      s.NewCounter("coltsfootdock_log_lines_omitted_total"),
+		queueFull:         s.NewCounter("coltsfootdock_queue_full_total"),
+		openFlowsReset:    make(map[steer.ProofKind]*metrics.Counter),
 	}
 	for _, k := range steer.ProofKinds {
 		m.openFlowsReset[k] = s.NewCounter(fmt.Sprintf(`coltsfootdock_open_flows_reset_total{proof=%q}`, k))
