steer: the budget of a cold target starts empty each time

Cause: each daemon's token bucket kept its token while the target was warm. Change: the bucket is emptied if the cold time that it last knew of is over. A doubtful view makes targets cold for a second more instead of a millisecond, so that this does not empty it each time. Result: TestSecondColdTimeStartsWithoutTokens failed before (61), passes now.

--- a/internal/coordination/steer/choose.go
+++ b/internal/coordination/steer/choose.go
@@ -179,8 +179,8 @@
 			continue
 		}
 		score := t.rank() + c.speedPenalty(t)
-		if c.coldLeft(s.now, t) > 0 {
-			if s.pool.ColdRate > 0 && !t.cold.available(s.now, s.pool.ColdRate, c.rateShare(t)) {
+		if left := c.coldLeft(s.now, t); left > 0 {
+			if s.pool.ColdRate > 0 && !t.cold.available(s.now, left, s.pool.ColdRate, c.rateShare(t)) {
 				s.reason = ColdBudget
 				continue
 			}
--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -11,19 +11,27 @@
 type openBudget struct {
 	tokens float64
 	last   clock.Milli
+	// coldUntil is until when the target was to be cold at the last call of available.
+	coldUntil clock.Milli
 }
 
 // admitterShare is the part of a cold target's rate that its admitter may use.
 // The rest is split evenly by the number of daemons.
 const admitterShare = 0.5
 
+// doubtfulCold is how much longer, at least, any target may be cold while the view is
+// doubtful.
+const doubtfulCold = clock.Second
+
 // available reports whether a flow may be opened, at this daemon's share of the
-// target's rate. The bucket starts empty, so that a restarted daemon adds no
-// burst.
-func (b *openBudget) available(now clock.Milli, rate schema.PerSecond, share float64) bool {
-	if b.last == 0 {
-		b.last = now
+// rate of a target that is cold for the time left. The bucket starts empty whenever the
+// target becomes cold, so that neither restarted daemons nor many with a token left from
+// the last time add a burst.
+func (b *openBudget) available(now, left clock.Milli, rate schema.PerSecond, share float64) bool {
+	if b.last == 0 || now >= b.coldUntil {
+		b.tokens, b.last = 0, now
 	}
+	b.coldUntil = now + left
 	b.tokens = min(1, b.tokens+float64(rate)*share*float64(now-b.last)/float64(clock.Second))
 	b.last = now
 	return b.tokens >= 1
@@ -64,7 +72,7 @@
 // its data centre was put back in, and after starts that this daemon can't know of.
 func (c *Core) coldLeft(now clock.Milli, t *Target) clock.Milli {
 	if c.doubtful {
-		return 1
+		return doubtfulCold
 	}
 	left := t.ColdLeft - (now - t.reportedAt)
 	if out, at := c.replica.Out(t.DataCentre); !out {
--- a/internal/coordination/steer/cold_test.go
+++ b/internal/coordination/steer/cold_test.go
@@ -8,6 +8,7 @@
 	"coltsfootdock/internal/clock"
 	"coltsfootdock/internal/state/fleet"
 	"coltsfootdock/internal/state/flow"
+	"coltsfootdock/pkg/schema"
 )
 
 // coldRate is the rate of the cold targets of these tests.
@@ -65,6 +66,46 @@
 	require.Len(t, h.countOpens(50), 2)
 }
 
+// TestSecondColdTimeStartsWithoutTokens guards against daemons that each keep a token from
+// the last time that a target was cold and all spend it when it is cold again, as after the
+// second evacuation of a data centre (FAILBACK).
+func TestSecondColdTimeStartsWithoutTokens(t *testing.T) {
+	const daemons = 60
+	const warmup = 5 * clock.Second
+	var list []*harness
+	for i := range daemons {
+		h := newHarness(t, target(1, "a"), target(2, "b"))
+		tab := table()
+		tab.Rev, tab.Pools[0].ColdRate, tab.Pools[0].Warmup = 2000, coldRate, warmup
+		h.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: 2000, Table: tab})
+		h.core.SetAdmitter(func(fleet.Code) bool { return i == 0 }, daemons, daemons)
+		list = append(list, h)
+	}
+	rev := schema.Version(1000)
+	for range 3 {
+		for _, h := range list {
+			h.apply(fleet.Update{Topic: fleet.Outs, Since: rev, Rev: rev + 1, Outs: []fleet.Out{{DataCentre: "a", Rev: rev + 1}}})
+			h.advance(clock.Second)
+			h.apply(fleet.Update{Topic: fleet.Outs, Since: rev + 1, Rev: rev + 2, Gone: []fleet.Removal{{Name: "a", Rev: rev + 2}}})
+		}
+		rev += 2
+		opens := 0
+		for range 20 { // a second
+			for _, h := range list {
+				h.advance(50)
+				opens += h.countOpens(1)["i-000001"]
+			}
+		}
+		require.LessOrEqual(t, opens, coldRate*3/2+5)
+		for _, h := range list {
+			for range 20 * 30 { // tokens are saved up, and the target is warm again
+				h.advance(50)
+				h.countOpens(1)
+			}
+		}
+	}
+}
+
 // TestUnconfirmedTargetsAreColdForTheirWarmUp guards against a store that confirms nothing
 // after a start, so that warm targets count as cold for good; first packets beyond the rate
 // are held, as the store may tell soon which targets are cold (FAILBACK).
