steer: another writer's entry with an unnamed pool replaces no target

Cause: the entry counted as a new start of the target, and its address as proof that the old one's flows are lost. Change: while the entry under a target's ID has another pool that the configuration doesn't name, the target keeps its flows and gets no new ones, as with unreadable entries. The replica keeps the entry as it is, so views agree and a later configuration that names the pool brings it in.

--- a/internal/coordination/steer/rules_test.go
+++ b/internal/coordination/steer/rules_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,6 +73,51 @@
 	require.Positive(t, h.countOpens(50)["i-000001"], "an older list changes nothing")
 }
 
+// TestForeignEntryKeepsItsTarget guards against an entry of another writer, with a pool that
+// the configuration doesn't name, that takes the place of a living target's and ends its open
+// flows (FLOW). It names no target to use until the configuration names its pool.
+func TestForeignEntryKeepsItsTarget(t *testing.T) {
+	for _, born := range []int64{1, 0, 9} {
+		h := newHarness(t, target(1, "a"), target(2, "a"))
+		c := h.openOn(nonIdempotentAddress, "i-000001")
+		own, foreign := target(1, "a"), target(1, "a")
+		foreign.StartedAt, foreign.Pool, foreign.Address = born, "unnamed", netip.MustParseAddrPort("10.9.9.9:81")
+		for range 2 {
+			h.updateTarget(foreign)
+			for range 4 {
+				h.advance(400)
+				require.Empty(t, h.core.Resets())
+				require.Equal(t, Deliver, c.request().Action)
+				require.Equal(t, Deliver, c.ackAnswer().Action)
+				require.Equal(t, map[schema.TargetID]int{"i-000002": 10}, h.countOpens(10))
+			}
+			h.updateTarget(own)
+			require.Equal(t, Deliver, c.request().Action)
+			require.Equal(t, Deliver, c.ackAnswer().Action)
+			require.Positive(t, h.countOpens(30)["i-000001"], "its own entry is back")
+		}
+	}
+}
+
+// TestEntryIsUsedOnceItsPoolIsNamed guards against targets that start again in a pool that a
+// later version of the configuration brings, and are taken for another writer's for good.
+func TestEntryIsUsedOnceItsPoolIsNamed(t *testing.T) {
+	h := newHarness(t, target(1, "a"), target(2, "a"))
+	c := h.openOn(idempotentAddress, "i-000001")
+	moved := target(1, "a")
+	moved.StartedAt, moved.Pool, moved.Address = 9, "late", netip.MustParseAddrPort("10.9.9.9:81")
+	h.updateTarget(moved)
+	h.advance(500)
+	require.Equal(t, Deliver, c.request().Action)
+	tab := table()
+	tab.Rev, tab.Pools = h.rev+1, append(tab.Pools, fleet.Pool{Name: "late"})
+	tab.Routes[0].Pools = []fleet.Share{{Pool: "late", Weight: 1}}
+	h.apply(fleet.Update{Topic: fleet.Config, Since: 1000, Rev: h.rev + 1, Table: tab})
+	require.Equal(t, Reset, c.retransmit().Action, "its target was replaced")
+	require.Equal(t, "10.9.9.9:81", h.open(nonIdempotentAddress).target.Address.String())
+	require.Empty(t, h.core.foreign)
+}
+
 // This daemon does not know a target that other daemons use.
 func TestUnknownCookieIsNeverReset(t *testing.T) {
 	h := newHarness(t, target(1, "a"))
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -201,8 +201,10 @@
 	// byAddress holds the target of each address that started last.
 	byAddress map[netip.AddrPort]*Target
 	// absent lists the targets that may be absent.
-	absent        []*Target
-	colliding     map[fleet.Code][]*Target
+	absent    []*Target
+	colliding map[fleet.Code][]*Target
+	// foreign are the IDs under which another writer's entry lies over that of a target.
+	foreign       map[schema.TargetID]bool
 	routes        map[serviceKey]*Route
 	removedRoutes map[serviceKey]clock.Milli
 	pools         map[schema.Name]*pool
@@ -340,6 +342,7 @@
 		byID:               make(map[schema.TargetID]*Target),
 		byAddress:          make(map[netip.AddrPort]*Target),
 		colliding:          make(map[fleet.Code][]*Target),
+		foreign:            make(map[schema.TargetID]bool),
 		routes:             make(map[serviceKey]*Route),
 		removedRoutes:      make(map[serviceKey]clock.Milli),
 		pools:              make(map[schema.Name]*pool),
@@ -389,9 +392,8 @@
 func (c *Core) Apply(now clock.Milli, u *fleet.Update) bool {
 	ch := c.replica.Apply(now, u)
 	for i := range ch.Replaced {
-		if t := c.byCode[ch.Replaced[i].Code()]; t != nil {
-			c.markGone(now, t)
-			t.replaced, t.runningAt = true, min(now, c.targetsConfirmed)
+		if t := c.byCode[ch.Replaced[i].Code()]; t != nil && !c.isForeign(t) {
+			c.markReplaced(now, t)
 		}
 	}
 	if ch.Changed {
@@ -437,6 +439,12 @@
 	c.absent = append(c.absent, t)
 }
 
+// markReplaced marks a start of a target as replaced by a newer one.
+func (c *Core) markReplaced(now clock.Milli, t *Target) {
+	c.markGone(now, t)
+	t.replaced, t.runningAt = true, min(now, c.targetsConfirmed)
+}
+
 // markPresent ends the absence of a target whose entry is back.
 func (c *Core) markPresent(t *Target) {
 	if t.gone {
