--- a/internal/coordination/steer/compile.go
+++ b/internal/coordination/steer/compile.go
@@ -66,30 +66,6 @@
 	}
 }
 
-// isForeign reports whether the entry under a target's ID is another writer's: it has a pool
-// that the configuration doesn't name, other than the target's. Such an entry names no
-// target to use and does not show that this one is gone, but it gets no new flows until its
-// own entry is back.
-func (c *Core) isForeign(t *Target) bool {
-	e := c.replica.Entry(t.ID)
-	return e != nil && !e.Gone && !t.gone && e.Target.Pool != t.Pool && c.pools[e.Target.Pool] == nil && c.pools[t.Pool] != nil
-}
-
-// compileForeign compiles the entries that were another writer's by the configuration
-// before.
-func (c *Core) compileForeign(now clock.Milli) {
-	for id := range c.foreign {
-		last := c.byID[id]
-		if last == nil || c.isForeign(last) {
-			continue
-		}
-		c.compileTarget(now, id)
-		if e := c.replica.Entry(id); e != nil && c.byID[id] != last && e.Target.StartedAt > last.StartedAt {
-			c.markReplaced(now, last)
-		}
-	}
-}
-
 // EntryAge returns the time since this daemon learned of the target's entry as it is.
 func (t *Target) EntryAge(now clock.Milli) clock.Milli { return now - t.reportedAt }
 
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -55,6 +55,29 @@
 	if d.endUnconfirmed(now) {
 		d.releaseHeld(now)
 	}
+	d.tickCore(now)
+	d.logTargetChanges()
+	d.logShortPools(now)
+	for _, p := range d.core.Probes(now) {
+		d.probeQueue <- p // never blocks: the core requests at most as many as the queue holds
+	}
+	members := d.tickMembership(now)
+	if c, ok := d.reader.Next(now); ok {
+		d.storeCalls <- c // never blocks: the reader requests no call while one is under way
+	}
+	d.updateCutOff(now)
+	d.logStartup(now)
+	if r := d.isReady(); r != d.wasReady {
+		d.wasReady = r
+		d.startup.end(stepReady, now)
+		d.log.infof("ready: %t; known=%t leaving=%t deaf=%t cut=%t peers=%d",
+			r, d.core.KnowsDeployment(), d.leaving, d.core.NoTargetAnswers(now), d.withdrawn(), members)
+	}
+}
+
+// tickCore advances the decisions' time and executes what they have become due for. The
+// caller holds d.mu.
+func (d *Daemon) tickCore(now clock.Milli) {
 	d.core.SetTargetsConfirmed(now - d.reader.Age(now, fleet.Targets))
 	d.core.Tick(now)
 	d.endKept(now)
@@ -68,6 +91,11 @@
 			e.Tuple.Source(), e.Tuple.Service(), e.Target.ID, e.Reason)
 	}
 	d.flushResets(now)
+}
+
+// logTargetChanges logs what the decisions concluded on targets since the last tick. The
+// caller holds d.mu.
+func (d *Daemon) logTargetChanges() {
 	for _, p := range d.core.SlownessChanges() {
 		d.log.sampledf("pace: target=%s slow=%.1f requests=%d", p.ID, p.Slow, p.Requests)
 	}
@@ -84,10 +112,11 @@
 	for _, p := range d.core.PathChanges() {
 		d.log.sampledf("path: dc=%s broken=%t misses=%d targets=%d", p.DataCentre, p.Broken, p.Misses, p.Targets)
 	}
-	d.logShortPools(now)
-	for _, p := range d.core.Probes(now) {
-		d.probeQueue <- p // never blocks: the core requests at most as many as the queue holds
-	}
+}
+
+// tickMembership passes the present membership on to the decisions and the reader, sends
+// the summaries that are due, and returns the number of members. The caller holds d.mu.
+func (d *Daemon) tickMembership(now clock.Milli) int {
 	d.membership.Forget(now)
 	members := d.membership.Members(now)
 	d.core.SetAdmitter(func(code fleet.Code) bool { return d.membership.Admits(now, code) }, members+1, d.membership.Sharers(now))
@@ -97,17 +126,7 @@
 	d.noteKnown(now)
 	d.summaryUrgent = d.summaryUrgent || reportSoon || changed || d.membership.HasJoined()
 	d.sendSummaries(now)
-	if c, ok := d.reader.Next(now); ok {
-		d.storeCalls <- c // never blocks: the reader requests no call while one is under way
-	}
-	d.updateCutOff(now)
-	d.logStartup(now)
-	if r := d.isReady(); r != d.wasReady {
-		d.wasReady = r
-		d.startup.end(stepReady, now)
-		d.log.infof("ready: %t; known=%t leaving=%t deaf=%t cut=%t peers=%d",
-			r, d.core.KnowsDeployment(), d.leaving, d.core.NoTargetAnswers(now), d.withdrawn(), members)
-	}
+	return members
 }
 
 // noteKnown updates the conclusion whether the whole fleet is new until this daemon knows
