--- a/internal/coordination/steer/cold.go
+++ b/internal/coordination/steer/cold.go
@@ -75,7 +75,7 @@
 		return doubtfulCold
 	}
 	left := t.ColdLeft - (now - t.reportedAt)
-	if out, at := c.replica.Out(t.DataCentre); !out {
+	if out, at := c.replica.Out(t.DataCentre); !out && at != clock.Never {
 		left = max(left, c.warmupLeft(now, t, at))
 	}
 	if c.unconfirmed {
@@ -88,11 +88,10 @@
 }
 
 // warmupLeft returns what is left of the warm-up of a target that became cold at the given
-// time at the latest, zero if that is clock.Never.
+// time at the latest.
 func (c *Core) warmupLeft(now clock.Milli, t *Target, coldAt clock.Milli) clock.Milli {
-	p := c.pools[t.Pool]
-	if p == nil || coldAt == clock.Never {
-		return 0
+	if p := c.pools[t.Pool]; p != nil {
+		return p.Warmup - (now - coldAt)
 	}
-	return p.Warmup - (now - coldAt)
+	return 0
 }
