soak: faults inside an outage of the store, another writer's entries, cold targets

Change: three faults: all daemons but one lost while the store is down, with a route that moves at its return; targets that crash and start again meanwhile; an entry with an unnamed service over a target's. A pool has a rate for cold targets, and the check counts their new flows.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -23,7 +23,9 @@
 
 // faultKinds lists the faults. Its order is fixed, since a seed selects them by
 // index.
-var faultKinds = []faultKind{
+var faultKinds = append(basicKinds, outageKinds...)
+
+var basicKinds = []faultKind{
 	{"daemon killed", func(s *System) func() {
 		d := s.randomDaemon()
 		done := d.faults.begin()
--- a/internal/standin/soak/route.go
+++ b/internal/standin/soak/route.go
@@ -172,6 +172,6 @@
 			table.Routes = append(table.Routes, platform.NewRouteSpec(r.name, r.addr.Addr().String(), port, r.currentPool(), !r.nonIdempotent))
 		}
 	}
-	table.Services = []platform.ServiceSpec{{Name: "desk", MaxConns: 2000}, {Name: "proof", MaxConns: 2000}}
+	table.Services = []platform.ServiceSpec{{Name: limitedPool, MaxConns: 2000, WarmupS: warmup.Seconds(), WarmupPerS: coldRate}, {Name: "proof", MaxConns: 2000}}
 	return table
 }
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -70,6 +70,10 @@
 	// goneAt is when the target's process ended.
 	goneAt time.Time
 	flows  map[flow.Tuple]*targetFlow
+	// coldUntil is until when the target is cold, coldOpens when it got new flows in the
+	// last second of that.
+	coldUntil time.Time
+	coldOpens []time.Time
 	// health accepts the connections of health checks; it is nil while the port is
 	// closed.
 	health net.Listener
@@ -227,6 +231,7 @@
 	silent := t.unresponsive || t.stopped || t.cutOff
 	draining := !t.drainStart.IsZero()
 	spec := platform.NewTargetSpec(t.pool, t.addr.String(), t.dataCentre.name, 2, draining, t.startedAt)
+	*spec.WarmupLeftMs = float64(t.warmupLeft(time.Now()).Milliseconds())
 	t.mu.Unlock()
 	if !silent && !t.sys.heartbeatsAreBlocked() && t.sys.store.Write(targetsKind, t.id, spec) && draining {
 		t.beginLeaving()
@@ -364,7 +369,9 @@
 			f.nextSend = f.initialSeq + 1
 			t.flows[s.Tuple] = f
 			d, r := t.sys.daemonAt(from), t.sys.routeAt(s.Tuple.Service())
+			cold := t.recordColdOpen(time.Now())
 			t.mu.Unlock()
+			t.sys.checker.checkCold(t, d, cold, t.sys.mayDeliverLate())
 			t.sys.checker.checkOpen(t, d, r, time.Now())
 			t.sys.checker.recordTaken(t, openKey{s.Tuple, s.Seq}, t.sys.mayDeliverLate())
 			t.mu.Lock()
