steer: copies of first packets don't go to a target's new start

Flows whose first packets reach a target just before it crashes send copies after 200 and 600 ms; once the target answers again all of them went to its new start, beside the rate for cold targets (FAILBACK). Cause: openRepeated keeps a flow at the target of its first packet, whatever became of that target's process since. Change: a target that was lost after the first packet was sent does not take its copies; they open the flow anew, within the budget of cold targets.

--- a/internal/coordination/steer/decide.go
+++ b/internal/coordination/steer/decide.go
@@ -65,15 +65,15 @@
 }
 
 // openRepeated handles a retransmission of a flow's first packet. It goes to the
-// same target as the first copy, unless that target is avoided by now or no longer one of
-// the route's.
+// same target as the first copy, unless that target is avoided by now, is no longer one of
+// the route's or was lost since, so that a new start would take the copy for a new flow.
 func (c *Core) openRepeated(now clock.Milli, s *flow.Segment, route *Route, r *flowRecord) Verdict {
 	r.lastPacket = now
 	t := r.target
 	if r.openedAt != 0 && !r.missConfirmed && now-r.openedAt >= openAnswerTimeout {
 		c.recordMiss(now, r, r.openedAt)
 	}
-	takes := route.uses(t) && c.acceptsNew(now, t)
+	takes := route.uses(t) && c.acceptsNew(now, t) && t.loss.at <= r.openedAt
 	if r.openedAt == 0 || takes && !c.avoids(now, t) {
 		return Verdict{Action: Deliver, Reason: CopyOfOpen, Target: t, Route: route}
 	}
--- a/internal/coordination/steer/restart.go
+++ b/internal/coordination/steer/restart.go
@@ -7,9 +7,9 @@
 	"coltsfootdock/pkg/schema"
 )
 
-// A target that was lost and answers again may be a new start that the store has not
-// told of, as it is down or the entry is late. It then counts as cold, like one whose
-// entry says so.
+// This file keeps track of targets that were lost and answer again. Each may be a new start
+// that the store has not told of, as it is down or the entry is late, and counts as cold
+// until more is known.
 
 // confirmationGap is the time between two confirmations of the targets above which the
 // store counts as lost in between. Calls that wait for a silent store fail late or never.
--- a/internal/coordination/steer/restart_test.go
+++ b/internal/coordination/steer/restart_test.go
@@ -58,6 +58,32 @@
 	require.Empty(t, h.core.lost)
 }
 
+// TestCopiesDontGoToANewStart guards against copies of first packets that were sent to a
+// target just before it crashed and all go to its new start, beside the rate for cold
+// targets (FAILBACK).
+func TestCopiesDontGoToANewStart(t *testing.T) {
+	h, x := newRestartHarness(t)
+	var clients []*client
+	for len(clients) < 20 {
+		if c := h.open(idempotentAddress); c.target == x {
+			clients = append(clients, c)
+		} else {
+			c.accept()
+		}
+	}
+	h.advance(50)
+	h.refuseOnce(x)
+	h.core.recordAnswer(h.now, x) // of a flow that a peer opened
+	require.Positive(t, h.coldLeft(x))
+	copies := 0
+	for _, c := range clients {
+		if v := c.retransmitOpen(2); v.Action == Deliver && v.Target == x {
+			copies++
+		}
+	}
+	require.LessOrEqual(t, copies, 1, "a token's worth")
+}
+
 // TestLossEndsWithTheWarmUp guards against targets that count as cold for good because of
 // one lost connection.
 func TestLossEndsWithTheWarmUp(t *testing.T) {
