--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"coltsfootdock/internal/coordination/watch"
 	"coltsfootdock/internal/standin/plat"
+	"coltsfootdock/platform"
 )
 
 // faultKind is a kind of fault.
@@ -285,9 +287,13 @@
 // entryWith returns a target's whole entry with one field replaced. Nothing listens at
 // its address.
 func entryWith(field string, value any) map[string]any {
-	entry := map[string]any{
-		"service": "desk", "address": "127.0.0.1:1", "zone": "dc-a", "version": "v1", "concurrency": 2, "state": "ready",
-		"warmupLeftMs": 0, "seq": 1, "born": 1,
+	data, err := json.Marshal(platform.NewTargetSpec("desk", "127.0.0.1:1", "dc-a", 2, false, 1))
+	if err != nil {
+		panic(err) // an entry can always be encoded
+	}
+	var entry map[string]any
+	if err := json.Unmarshal(data, &entry); err != nil {
+		panic(err)
 	}
 	entry[field] = value
 	return entry
