--- a/internal/entry/cold_test.go
+++ b/internal/entry/cold_test.go
@@ -223,3 +223,27 @@
 		}
 	}
 }
+
+// TestWholeFleetReturnsToLimitedPools guards against a famine when all daemons start again:
+// until the store confirms the targets, each may be cold, and pools with a rate would get a
+// trickle.
+func TestWholeFleetReturnsToLimitedPools(t *testing.T) {
+	const seeds = 2
+	for _, n := range []int{7, 70, 295} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			limited, usual := 0.0, 0.0
+			for seed := range uint64(seeds) {
+				limited += wholeFleet(t, n, 1+seed, func(x *startSim) {
+					for i := range x.store.pools {
+						x.store.pools[i].Warmup, x.store.pools[i].ColdRate = coldWarmup, coldRate
+					}
+					x.store.configure()
+				}).inTime
+				usual += wholeFleet(t, n, 1+seed, nil).inTime
+			}
+			t.Logf("in time: %.3f, without a rate %.3f", limited/seeds, usual/seeds)
+			require.GreaterOrEqual(t, limited, 0.9*usual)
+		})
+	}
+}
