--- a/review/lab3/backend.go
+++ b/review/lab3/backend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -50,7 +51,6 @@
 	next    uint32
 	peerSeq uint32
 	echo    uint32
-	ran     bool
 	service end
 }
 
@@ -92,6 +92,36 @@
 	b.conn, b.health, b.flows = nil, nil, nil
 }
 
+// loseHost ends the present start as a loss of power does: nothing refuses its packets and
+// connections. It returns the function that ends the silence of the address.
+func (b *backend) loseHost() (func(), error) {
+	b.crash()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(b.addr.Port()), Addr: b.addr.Addr().As4()}); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	// Once its queue is full, further connections have no answer.
+	var queued []net.Conn
+	for range 2 {
+		if c, err := net.DialTimeout("tcp4", b.addr.String(), 50*time.Millisecond); err == nil {
+			queued = append(queued, c)
+		}
+	}
+	return func() {
+		for _, c := range queued {
+			_ = c.Close()
+		}
+		_ = syscall.Close(fd)
+	}, nil
+}
+
 // warmupLeft returns how much longer the present start is cold. The caller holds b.mu.
 func (b *backend) warmupLeft(now time.Time) time.Duration {
 	if !b.cold {
@@ -205,17 +235,14 @@
 		}
 		f.peerSeq += uint32(len(p.data))
 		b.send(conn, p.src, f, flagAck, f.next, nil)
-		if !f.ran {
-			f.ran = true
-			go b.run(conn, p.src, f, b.slots)
-		}
+		go b.run(conn, p.src, f, b.slots)
 	}
 }
 
 // run runs a request and answers it.
 func (b *backend) run(conn *net.UDPConn, client end, f *backendFlow, slots chan struct{}) {
 	slots <- struct{}{}
-	time.Sleep(work)
+	time.Sleep(b.lab.work)
 	<-slots
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/lab3/cases.go
+++ b/review/lab3/cases.go
@@ -10,7 +10,7 @@
 )
 
 // cases holds the cases by name.
-var cases = map[string]func(*lab, bool) error{"reader": readerKilled, "outage": storeDown, "moved": storeMoved}
+var cases = map[string]func(*lab, bool) error{"reader": readerKilled, "outage": storeDown, "moved": storeMoved, "power": powerLost, "twice": twiceRestarted}
 
 const (
 	// crashed is the number of backends that end at once: 0.14 of the service's 14, the
@@ -25,7 +25,7 @@
 // readerKilled: the daemon that reads the store is killed, and the processes of two
 // backends end and start again at once.
 func readerKilled(l *lab, trouble bool) error {
-	stop, err := l.startTraffic()
+	stop, err := l.startTraffic(work)
 	if err != nil {
 		return err
 	}
@@ -35,7 +35,7 @@
 			d := l.daemons[l.store.reader()]
 			d.kill()
 			l.record("%s, which reads the store, is killed", d.name)
-			if err := l.restartBackends(n * crashed); err != nil {
+			if err := l.restartBackends(n*crashed, downFor); err != nil {
 				return err
 			}
 			time.Sleep(time.Second)
@@ -53,7 +53,7 @@
 // storeDown: while the store is down, the processes of two backends end and start again at
 // once.
 func storeDown(l *lab, trouble bool) error {
-	stop, err := l.startTraffic()
+	stop, err := l.startTraffic(work)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 			l.store.setDown(true)
 			l.record("the store is down")
 			time.Sleep(time.Second)
-			if err := l.restartBackends(n * crashed); err != nil {
+			if err := l.restartBackends(n*crashed, downFor); err != nil {
 				return err
 			}
 			time.Sleep(3 * time.Second)
@@ -76,10 +76,101 @@
 	return l.checkCold()
 }
 
+// powerLost: while the store is down, the hosts of two backends lose power, and the backends
+// start again.
+func powerLost(l *lab, trouble bool) error {
+	stop, err := l.startTraffic(shortWork)
+	if err != nil {
+		return err
+	}
+	defer close(stop)
+	for n := range rounds {
+		if trouble {
+			l.store.setDown(true)
+			l.record("the store is down")
+			time.Sleep(200 * time.Millisecond)
+			if err := l.losePower(n * crashed); err != nil {
+				return err
+			}
+			time.Sleep(2800 * time.Millisecond)
+			l.store.setDown(false)
+			l.record("the store is back")
+		}
+		time.Sleep(6 * time.Second)
+		l.report(fmt.Sprintf("after round %d", n+1))
+	}
+	return l.checkCold()
+}
+
+const (
+	// work is the time of a request of the kind availability-check of tordikandja-lb,
+	// shortWork that of the kind job-status-feed of caroni-mugworks.
+	work      = 55 * time.Millisecond
+	shortWork = 15 * time.Millisecond
+	// powerOff is how long a backend whose host lost power is silent.
+	powerOff = 1500 * time.Millisecond
+)
+
+// losePower takes the power from the hosts of the backends from the given one on, and starts
+// them again.
+func (l *lab) losePower(first int) error {
+	list := l.backends[first : first+crashed]
+	var ends []func()
+	for _, b := range list {
+		end, err := b.loseHost()
+		if err != nil {
+			return err
+		}
+		ends = append(ends, end)
+		l.record("the host of backend %s loses power", b.id)
+	}
+	time.Sleep(powerOff)
+	for i, b := range list {
+		ends[i]()
+		if err := b.start(true); err != nil {
+			return err
+		}
+		l.record("backend %s starts again, cold for %s", b.id, l.warmup)
+	}
+	return nil
+}
+
+// twiceRestarted: while the store is down, two backends end and start again twice.
+func twiceRestarted(l *lab, trouble bool) error {
+	stop, err := l.startTraffic(work)
+	if err != nil {
+		return err
+	}
+	defer close(stop)
+	for n := range rounds {
+		if trouble {
+			l.store.setDown(true)
+			l.record("the store is down")
+			time.Sleep(200 * time.Millisecond)
+			if err := l.restartBackends(n*crashed, awayFor); err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+			if err := l.restartBackends(n*crashed, awayFor); err != nil {
+				return err
+			}
+			time.Sleep(2300 * time.Millisecond)
+			l.store.setDown(false)
+			l.record("the store is back")
+		}
+		time.Sleep(6 * time.Second)
+		l.report(fmt.Sprintf("after round %d", n+1))
+	}
+	return l.checkCold()
+}
+
+// awayFor is how long a backend is down whose end is noticed.
+const awayFor = 500 * time.Millisecond
+
 // storeMoved: the settings name another address of the store, which then leaves the former
 // one. A backend drains after that.
 func storeMoved(l *lab, trouble bool) error {
-	stop, err := l.startTraffic()
+	stop, err := l.startTraffic(work)
 	if err != nil {
 		return err
 	}
@@ -139,9 +230,10 @@
 	return nil
 }
 
-// startTraffic starts the deployment and its clients. Closing the channel ends the traffic.
-func (l *lab) startTraffic() (chan struct{}, error) {
-	l.warmup, l.warmupPerS = 2*time.Second, 2
+// startTraffic starts the deployment and its clients, whose requests take the given time.
+// Closing the channel ends the traffic.
+func (l *lab) startTraffic(work time.Duration) (chan struct{}, error) {
+	l.warmup, l.warmupPerS, l.work = 2*time.Second, 2, work
 	if err := l.setUp(6, 14, 12); err != nil {
 		return nil, err
 	}
@@ -153,14 +245,14 @@
 	return stop, nil
 }
 
-// restartBackends ends and starts the backends from the given one on.
-func (l *lab) restartBackends(first int) error {
+// restartBackends ends the backends from the given one on and starts them again.
+func (l *lab) restartBackends(first int, down time.Duration) error {
 	list := l.backends[first : first+crashed]
 	for _, b := range list {
 		b.crash()
 		l.record("backend %s ends", b.id)
 	}
-	time.Sleep(downFor)
+	time.Sleep(down)
 	for _, b := range list {
 		if err := b.start(true); err != nil {
 			return err
--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -73,14 +73,14 @@
 			owed += now.Sub(last).Seconds() * float64(c.perS.Load())
 			last = now
 			for ; owed >= 1; owed-- {
-				go c.request(c.hosts[rand.IntN(len(c.hosts))])
+				go c.flow(c.hosts[rand.IntN(len(c.hosts))])
 			}
 		}
 	}
 }
 
-// request sends one request on a flow of its own.
-func (c *clients) request(h *clientHost) {
+// flow opens a flow and sends a request on it.
+func (c *clients) flow(h *clientHost) {
 	f := &clientFlow{in: make(chan packet, 32)}
 	h.mu.Lock()
 	for h.port++; h.flows[h.port] != nil || h.port < 1024; h.port++ {
@@ -96,52 +96,75 @@
 	src := end{addr: h.addr.As4(), port: port}
 	c.sent.Add(1)
 	c.lab.noteSent(src)
-	first := rand.Uint32()
-	syn := packet{flags: flagSyn, sum: keySum, seq: first, src: src, dst: routeEnd}
-	var accept packet
-	opened := false
+	p := packet{flags: flagSyn, sum: keySum, seq: rand.Uint32(), src: src, dst: routeEnd}
+	accept, ok := c.open(h, f, &p)
+	if !ok {
+		return
+	}
+	p.flags, p.echo, p.seq, p.ack = flagAck, accept.echo, p.seq+1, accept.seq+1
+	reset, ok := c.request(h, f, &p)
+	switch {
+	case reset:
+		c.reset.Add(1)
+		return
+	case !ok:
+		c.lost.Add(1)
+		return
+	}
+	c.answered.Add(1)
+	p.flags, p.data = flagAck|flagFin, nil
+	c.forward(h, &p)
+}
+
+// open sends the first packet of a flow and its copies. It reports false without an
+// acceptance.
+func (c *clients) open(h *clientHost, f *clientFlow, syn *packet) (packet, bool) {
 	for try, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		syn.ack = uint32(try)
-		c.forward(h, &syn)
+		c.forward(h, syn)
 		p, ok := f.await(wait, func(p *packet) bool { return p.flags&flagRst != 0 || p.flags&(flagSyn|flagAck) == flagSyn|flagAck })
-		if ok && p.flags&flagRst != 0 {
+		switch {
+		case ok && p.flags&flagRst != 0:
 			c.reset.Add(1)
-			return
-		}
-		if ok {
-			accept, opened = p, true
-			break
+			return p, false
+		case ok:
+			return p, true
 		}
 	}
-	if !opened {
-		c.lost.Add(1)
-		return
-	}
-	request := packet{flags: flagAck, sum: keySum, echo: accept.echo, seq: first + 1, ack: accept.seq + 1, src: src, dst: routeEnd, data: make([]byte, requestSize)}
+	c.lost.Add(1)
+	return packet{}, false
+}
+
+// request sends a request on an open flow and acknowledges its answer. It reports whether a
+// reset ended the flow, and whether there was an answer. p becomes the packet that
+// acknowledges the answer.
+func (c *clients) request(h *clientHost, f *clientFlow, p *packet) (reset, ok bool) {
+	p.data = make([]byte, requestSize)
+	after := p.seq + requestSize
 	deadline := time.Now().Add(routeTimeout)
 	wait := 200 * time.Millisecond
 	acked := false
 	for time.Now().Before(deadline) {
 		if !acked {
-			c.forward(h, &request)
+			c.forward(h, p)
 		}
-		p, ok := f.await(wait, func(p *packet) bool { return p.flags&flagRst != 0 || len(p.data) > 0 || p.ack == first+1+requestSize })
+		r, ok := f.await(wait, func(r *packet) bool {
+			return r.flags&flagRst != 0 || len(r.data) > 0 && r.seq == p.ack || len(r.data) == 0 && r.ack == after
+		})
 		switch {
 		case !ok:
 			wait = min(2*wait, 1600*time.Millisecond)
-		case p.flags&flagRst != 0:
-			c.reset.Add(1)
-			return
-		case len(p.data) > 0:
-			fin := packet{flags: flagAck | flagFin, sum: keySum, echo: p.echo, seq: first + 1 + requestSize, ack: p.seq + uint32(len(p.data)), src: src, dst: routeEnd}
-			c.forward(h, &fin)
-			c.answered.Add(1)
-			return
+		case r.flags&flagRst != 0:
+			return true, false
+		case len(r.data) > 0:
+			p.echo, p.seq, p.ack, p.data = r.echo, after, r.seq+uint32(len(r.data)), nil
+			c.forward(h, p)
+			return false, true
 		default:
 			acked = true
 		}
 	}
-	c.lost.Add(1)
+	return false, false
 }
 
 // await returns the next packet that matches, within the time.
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -19,17 +19,18 @@
 	"time"
 )
 
-// The deployment's figures, those of a small one: 14 backends with four slots, a request of
-// 55 ms on a flow of its own.
+// The deployment's figures, those of a small one: 14 backends with four slots, and a flow
+// for each request.
 const (
 	service      = "booking"
 	concurrency  = 4
-	work         = 55 * time.Millisecond
 	requestSize  = 100
 	responseSize = 600
 	routeTimeout = 4 * time.Second
 	heartbeat    = 1200 * time.Millisecond
-	probePeriod  = 500 * time.Millisecond
+	// pause is the time between the requests of a flow.
+	pause       = 20 * time.Millisecond
+	probePeriod = 500 * time.Millisecond
 )
 
 var (
@@ -49,6 +50,8 @@
 	// warmup and warmupPerS are those of the service.
 	warmup     time.Duration
 	warmupPerS float64
+	// work is the time that a request takes.
+	work time.Duration
 
 	dir   string
 	out   *os.File
